--- a/source/platform/base64.cpp
+++ b/source/common/base64.cpp
@@ -1,8 +1,8 @@
-#include "platform/base64.hpp"
+#include "common/base64.hpp"
 
 #include <openssl/evp.h>
 
-namespace bramleyarch::platform
+namespace bramleyarch
 {
 
 namespace
@@ -63,4 +63,4 @@
     return bytes;
 }
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch
--- a/source/platform/base64.hpp
+++ b/source/common/base64.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace bramleyarch::platform
+namespace bramleyarch
 {
 
 std::string to_base64(std::string_view bytes);
@@ -13,4 +13,4 @@
 /// Nothing for text that is not padded base64.
 std::optional<std::string> from_base64(std::string_view text);
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch
--- a/source/common/request.hpp
+++ b/source/common/request.hpp
@@ -70,6 +70,31 @@
 std::string_view find_header(std::vector<header_field> const& headers,
                              std::string_view name);
 
+/// A run of prompt tokens that requests may share.
+struct prompt_part
+{
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+};
+
+/// What a route and a caller ask for beyond the kind, where routers admit
+/// requests themselves.
+struct request_terms
+{
+    std::string caller_id; ///< The caller's own id of the request.
+    std::string route;
+    std::uint32_t max_attempts = 1; ///< Servers that the request may reach.
+    bool streaming = false;
+    bool resumable = false;
+    duration latency_target{};       ///< For the first byte.
+    duration gap_target{};           ///< Streams: between events.
+    std::uint32_t rank = 0;          ///< 0 is the most urgent.
+    std::vector<prompt_part> prompt; ///< In order; the last is its own.
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t answer_tokens = 0; ///< At most.
+    time_point received{};
+};
+
 /// A request whose team and service are known.
 struct routed_request
 {
@@ -89,6 +114,7 @@
     std::uint32_t work = 1;             ///< Expected tokens, prompt + answer.
     std::uint64_t body_fingerprint = 0; ///< `fingerprint(body)`.
     std::uint64_t resume_offset = 0;    ///< Bytes of the answer already sent.
+    request_terms terms;                ///< Stays with the entry router.
 };
 
 /// First part of an answer.
--- a/source/config/settings.cpp
+++ b/source/config/settings.cpp
@@ -118,6 +118,11 @@
     return static_cast<std::uint32_t>(std::stoul(text_of(r, where, key)));
 }
 
+double decimal_of(reading const& r, section where, std::string_view key)
+{
+    return std::stod(text_of(r, where, key));
+}
+
 duration time_of(reading const& r, section where, std::string_view key)
 {
     return std::chrono::milliseconds{number_of(r, where, key)};
@@ -193,6 +198,22 @@
     return listen;
 }
 
+shared_limit_settings shared_of(reading const& r)
+{
+    auto const number = [&](auto key)
+    { return number_of(r, section::shared, key); };
+    auto const decimal = [&](auto key)
+    { return decimal_of(r, section::shared, key); };
+    auto const seconds = [&](auto key)
+    { return std::chrono::seconds{number(key)}; };
+    return {.retry_ratio = decimal("retry_ratio"),
+            .retry_slack = number("retry_slack"),
+            .retry_window = seconds("retry_window_s"),
+            .cold_overage = decimal("cold_overage"),
+            .cold_slack = number("cold_slack"),
+            .stop_limit = seconds("stop_limit_s")};
+}
+
 settings settings_of(reading const& r)
 {
     auto const fleet = [&](auto key)
@@ -212,6 +233,7 @@
                         from_name<ranking_policy>(
                             text_of(r, section::routing, "policy"))
                             .value_or(ranking_policy::bounded_rendezvous)},
+        .shared = shared_of(r),
         .level = from_name<log_level>(text_of(r, section::log, "level"))
                      .value_or(log_level::info)};
 }
@@ -238,9 +260,10 @@
                    "is not above suspect_after_ms",
                    "use a value above suspect_after_ms");
     check_relation(r,
-                   s.platform.mode != platform_mode::etcd ||
+                   s.platform.mode == platform_mode::embedded ||
                        s.platform.address.port != 0,
-                   section::platform, "endpoint", "is not set and mode is etcd",
+                   section::platform, "endpoint",
+                   "is not set and mode is not embedded",
                    "name the platform's service, or set mode to embedded");
     check_relation(r,
                    s.platform.mode != platform_mode::embedded ||
--- a/source/config/settings.hpp
+++ b/source/config/settings.hpp
@@ -22,6 +22,7 @@
 {
     embedded, ///< No platform; the configuration comes from a file.
     etcd,     ///< The platform's service, etcd v3 JSON protocol.
+    store,    ///< The users' platform; each router admits its own requests.
 };
 
 constexpr auto enum_names(platform_mode)
@@ -29,6 +30,7 @@
     return std::array{
         enum_name<platform_mode>{platform_mode::embedded, "embedded"},
         enum_name<platform_mode>{platform_mode::etcd, "etcd"},
+        enum_name<platform_mode>{platform_mode::store, "store"},
     };
 }
 
@@ -105,6 +107,17 @@
     ranking_policy policy = ranking_policy::bounded_rendezvous;
 };
 
+/// Limits that hold for all routers together; only in mode `store`.
+struct shared_limit_settings
+{
+    double retry_ratio = 0;        ///< Repeats for each request.
+    std::uint32_t retry_slack = 0; ///< Repeats beyond that in the window.
+    duration retry_window{};
+    double cold_overage = 0;      ///< Times a cold server's stated rate.
+    std::uint32_t cold_slack = 0; ///< Requests a second beyond that.
+    duration stop_limit{};        ///< From the signal to the forced end.
+};
+
 /// All settings; one member per section of the file.
 struct settings
 {
@@ -114,6 +127,7 @@
     platform_settings platform;
     limit_settings limits;
     routing_settings routing;
+    shared_limit_settings shared;
     log_level level = log_level::info;
 };
 
--- a/source/config/settings_table.cpp
+++ b/source/config/settings_table.cpp
@@ -105,12 +105,14 @@
                 .type = t::choice,
                 .default_text = "embedded",
                 .text = "`embedded`: configuration from a file; `etcd`: from "
-                        "the platform's service.",
+                        "the platform's service; `store`: rules and servers "
+                        "from the store of the users' platform.",
                 .choices = names_of<platform_mode>},
     setting_row{.section = s::platform,
                 .key = "endpoint",
                 .type = t::address,
-                .text = "The platform's service; needed for `etcd`."},
+                .text = "The platform's service; needed for `etcd` and "
+                        "`store`."},
     setting_row{.section = s::platform,
                 .key = "timeout_ms",
                 .type = t::integer,
@@ -232,6 +234,57 @@
                 .text = "How backend servers are ranked for a request; the "
                         "others are baselines for measurements.",
                 .choices = names_of<ranking_policy>},
+    setting_row{.section = s::shared,
+                .key = "retry_ratio",
+                .type = t::decimal,
+                .unit = "repeats per request",
+                .min = 0,
+                .max = 10,
+                .default_text = "0.2",
+                .text = "Repeats that a service may get from all routers."},
+    setting_row{.section = s::shared,
+                .key = "retry_slack",
+                .type = t::integer,
+                .unit = "repeats",
+                .min = 0,
+                .max = 100'000,
+                .default_text = "50",
+                .text = "Repeats beyond `retry_ratio` in one window, of all "
+                        "routers."},
+    setting_row{.section = s::shared,
+                .key = "retry_window_s",
+                .type = t::integer,
+                .unit = "s",
+                .min = 1,
+                .max = 600,
+                .default_text = "10",
+                .text = "Window in which repeats are counted."},
+    setting_row{.section = s::shared,
+                .key = "cold_overage",
+                .type = t::decimal,
+                .unit = "times",
+                .min = 0,
+                .max = 100,
+                .default_text = "1.5",
+                .text = "What a cold server gets from all routers, over the "
+                        "rate that it states."},
+    setting_row{.section = s::shared,
+                .key = "cold_slack",
+                .type = t::integer,
+                .unit = "requests/s",
+                .min = 0,
+                .max = 10'000,
+                .default_text = "5",
+                .text = "Requests to a cold server beyond `cold_overage`."},
+    setting_row{.section = s::shared,
+                .key = "stop_limit_s",
+                .type = t::integer,
+                .unit = "s",
+                .min = 1,
+                .max = 3'600,
+                .default_text = "8",
+                .text = "Time from the stop signal until the process is "
+                        "killed."},
     setting_row{.section = s::log,
                 .key = "level",
                 .type = t::choice,
@@ -249,6 +302,16 @@
            value <= row.max;
 }
 
+bool is_decimal_within(setting_row const& row, std::string_view text)
+{
+    double value = 0;
+    auto const* const end = text.data() + text.size();
+    auto const parsed = std::from_chars(text.data(), end, value);
+    return parsed.ec == std::errc{} && parsed.ptr == end &&
+           value >= static_cast<double>(row.min) &&
+           value <= static_cast<double>(row.max);
+}
+
 bool is_key(std::string_view text)
 {
     return !text.empty() && text.size() <= max_key_bytes &&
@@ -322,6 +385,8 @@
         return is_address_list(text);
     case t::integer:
         return is_integer_within(row, text);
+    case t::decimal:
+        return is_decimal_within(row, text);
     case t::choice:
         return std::ranges::count(row.choices(), text) == 1;
     case t::key:
@@ -353,6 +418,9 @@
     case t::integer:
         return fmt::format("use a whole number from {} to {}", row.min,
                            row.max);
+    case t::decimal:
+        return fmt::format("use a number from {} to {}, like 0.5", row.min,
+                           row.max);
     case t::choice:
         return fmt::format("use one of: {}", fmt::join(row.choices(), ", "));
     case t::key:
--- a/source/config/settings_table.hpp
+++ b/source/config/settings_table.hpp
@@ -20,6 +20,7 @@
     platform,
     limits,
     routing,
+    shared,
     log,
 };
 
@@ -31,7 +32,7 @@
         row{s::router, "router"}, row{s::listen, "listen"},
         row{s::fleet, "fleet"},   row{s::platform, "platform"},
         row{s::limits, "limits"}, row{s::routing, "routing"},
-        row{s::log, "log"},
+        row{s::shared, "shared"}, row{s::log, "log"},
     };
 }
 
@@ -43,6 +44,7 @@
     address,        ///< IPv4 address and port, or empty.
     address_list,   ///< Addresses separated by commas, or empty.
     integer,        ///< Whole number from `min` to `max`.
+    decimal,        ///< Number from `min` to `max`, with a fraction or not.
     choice,         ///< One of `choices()`.
     key,            ///< Printable ASCII without spaces.
     file,           ///< Path of a file, or empty.
@@ -59,6 +61,7 @@
         row{t::address, "address:port or empty"},
         row{t::address_list, "list of address:port"},
         row{t::integer, "integer"},
+        row{t::decimal, "decimal"},
         row{t::choice, "choice"},
         row{t::key, "key"},
         row{t::file, "file"},
--- a/source/control/http_calls.cpp
+++ b/source/control/http_calls.cpp
@@ -65,8 +65,7 @@
                                  .method = call.method,
                                  .target = call.target,
                                  .connect_limit = limit,
-                                 .silence_limit = limit,
-                                 .keep_alive = false};
+                                 .silence_limit = limit};
     if (call.body.empty())
         return request;
     request.headers = {{"content-type", "application/json"}};
--- a/source/control/submit_steps.cpp
+++ b/source/control/submit_steps.cpp
@@ -1,8 +1,8 @@
 #include "control/submit_steps.hpp"
 
 #include "control/http_calls.hpp"
-#include "platform/etcd_replies.hpp"
-#include "platform/etcd_requests.hpp"
+#include "etcd/etcd_replies.hpp"
+#include "etcd/etcd_requests.hpp"
 
 namespace bramleyarch::control
 {
@@ -14,15 +14,15 @@
 constexpr int max_tries = 4;
 
 /// Reads the key, again if no answer comes.
-result<platform::stored_document> read_key(run_transaction const& run,
-                                           std::string const& key)
+result<etcd::stored_document> read_key(run_transaction const& run,
+                                       std::string const& key)
 {
     error last;
     for (int i = 0; i < max_tries; ++i)
     {
-        auto const reply = run(platform::read_transaction(key));
+        auto const reply = run(etcd::read_transaction(key));
         if (reply)
-            return platform::read_stored(reply.value());
+            return etcd::read_stored(reply.value());
         last = reply.error();
     }
     return last;
@@ -32,10 +32,10 @@
 
 run_transaction make_runner(platform_target const& target)
 {
-    return [target](platform::kv_transaction const& transaction)
-               -> result<platform::kv_transaction_reply>
+    return [target](etcd::kv_transaction const& transaction)
+               -> result<etcd::kv_transaction_reply>
     {
-        auto request = platform::encode_transaction(transaction);
+        auto request = etcd::encode_transaction(transaction);
         auto const answers = run_calls({{.to = target.platform,
                                          .method = "POST",
                                          .target = request.target,
@@ -44,12 +44,12 @@
         auto const& answer = answers.front();
         if (!answer)
             return answer.error();
-        return platform::decode_transaction(answer.value().status,
-                                            answer.value().body);
+        return etcd::decode_transaction(answer.value().status,
+                                        answer.value().body);
     };
 }
 
-result<platform::stored_document> read_stored(platform_target const& target)
+result<etcd::stored_document> read_stored(platform_target const& target)
 {
     return read_key(make_runner(target), target.key);
 }
@@ -64,7 +64,7 @@
     if (!stored)
         return fail(error_kind::platform_unavailable,
                     "nothing was written: " + stored.error().detail);
-    auto const prepared = platform::prepare_submit(
+    auto const prepared = etcd::prepare_submit(
         key, stored.value(), std::move(document), std::move(submission_id));
     if (!prepared)
         return prepared.error();
@@ -75,7 +75,7 @@
     {
         auto const reply = run(pending.transaction);
         if (reply)
-            return platform::settle_submit(pending, reply.value());
+            return etcd::settle_submit(pending, reply.value());
         last = reply.error();
         if (last.kind != error_kind::platform_timeout)
             continue;
@@ -83,8 +83,7 @@
         auto const now_stored = read_key(run, key);
         if (!now_stored)
             continue;
-        if (auto settled =
-                platform::settle_by_reading(pending, now_stored.value()))
+        if (auto settled = etcd::settle_by_reading(pending, now_stored.value()))
             return std::move(*settled);
     }
     if (may_have_effect)
--- a/source/control/submit_steps.hpp
+++ b/source/control/submit_steps.hpp
@@ -5,7 +5,7 @@
 #include "common/ids.hpp"
 #include "common/time.hpp"
 #include "config/model.hpp"
-#include "platform/submit.hpp"
+#include "etcd/submit.hpp"
 
 #include <functional>
 #include <string>
@@ -21,14 +21,14 @@
 };
 
 /// Runs one transaction; the errors are those of the platform's codec.
-using run_transaction = std::function<result<platform::kv_transaction_reply>(
-    platform::kv_transaction const&)>;
+using run_transaction = std::function<result<etcd::kv_transaction_reply>(
+    etcd::kv_transaction const&)>;
 
 /// Runs transactions over HTTP.
 run_transaction make_runner(platform_target const& target);
 
 /// The document stored under the key.
-result<platform::stored_document> read_stored(platform_target const& target);
+result<etcd::stored_document> read_stored(platform_target const& target);
 
 /// Submits `document`; the version stored, or an error. A lost answer is
 /// settled by reading back.
--- /dev/null
+++ b/source/decisions/discovery.hpp
@@ -0,0 +1,109 @@
+/// What is known of a deployment from the records of a store that can be away,
+/// forget its history and hold records of other writers.
+#pragma once
+
+#include "config/deployment.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace bramleyarch::decisions
+{
+
+/// Another router, as it listed itself.
+struct listed_router
+{
+    router_id id;
+    endpoint heartbeat;
+
+    bool operator==(listed_router const&) const = default;
+};
+
+/// A backend server's own entry, with what orders entries of one server.
+struct server_entry
+{
+    config::listed_server server;
+    std::uint64_t sequence = 0; ///< Rises within one start of the server.
+};
+
+/// A key of a server that names no server to use.
+struct unusable_entry
+{
+    server_id id;
+    std::string reason;
+};
+
+/// A record that says nothing here, or that can't be read.
+struct ignored_record
+{
+    std::string reason; ///< Empty: of no concern.
+};
+
+struct domain_taken_out
+{
+    domain_id domain;
+};
+
+using record =
+    std::variant<ignored_record, std::shared_ptr<config::routing_rules const>,
+                 server_entry, unusable_entry, domain_taken_out, listed_router>;
+
+/// One key as it was written, or its removal.
+struct record_change
+{
+    std::string key;
+    revision changed = 0;
+    bool removed = false;
+    record content; ///< Also of a removal: what the key named.
+};
+
+struct discovery_options
+{
+    /// Servers whose entries lapsed while the store was away are listed again
+    /// within about two seconds of its return; the rest covers late timers.
+    duration return_grace = std::chrono::milliseconds{2300};
+};
+
+struct discovery
+{
+    discovery_options options;
+    config::deployment known;
+    std::map<std::string, revision> applied; ///< Per key.
+    std::map<server_id, std::uint64_t> sequences;
+    std::map<std::string, listed_router> routers; ///< By key.
+    /// Servers whose entries went while the store was away.
+    std::map<server_id, time_point> doubtful;
+    bool away = false;
+    std::optional<time_point> returned;
+};
+
+/// What an applied change touched.
+struct discovery_effect
+{
+    bool deployment = false;
+    bool routers = false;
+    std::string note; ///< For the log; empty: nothing to say.
+};
+
+/// The store gives no answers.
+void note_away(discovery& d);
+
+/// The store answers again.
+void note_back(discovery& d, time_point at);
+
+/// Applies a change; older ones than what is known of its key have no effect.
+discovery_effect apply(discovery& d, record_change const& change,
+                       time_point at);
+
+/// Keys that were known and are missing from a whole list.
+std::vector<std::string> missing_keys(discovery const& d,
+                                      std::set<std::string> const& listed);
+
+/// Drops the servers whose entries did not come back in time.
+discovery_effect expire(discovery& d, time_point at);
+
+} // namespace bramleyarch::decisions
--- /dev/null
+++ b/source/decisions/event_cursor.cpp
@@ -0,0 +1,67 @@
+#include "decisions/event_cursor.hpp"
+
+#include <charconv>
+
+namespace bramleyarch::decisions
+{
+
+namespace
+{
+
+constexpr std::string_view event_end = "\n\n";
+
+/// Id of an event; nothing when it has none.
+std::optional<std::uint64_t> id_of(std::string_view event)
+{
+    constexpr std::string_view name = "id:";
+    while (!event.empty())
+    {
+        auto const line_end = event.find('\n');
+        auto line = event.substr(0, line_end);
+        event.remove_prefix(line_end == std::string_view::npos ? event.size()
+                                                               : line_end + 1);
+        if (!line.starts_with(name))
+            continue;
+        line.remove_prefix(name.size());
+        while (line.starts_with(' '))
+            line.remove_prefix(1);
+        std::uint64_t id = 0;
+        auto const parsed =
+            std::from_chars(line.data(), line.data() + line.size(), id);
+        if (parsed.ec == std::errc{})
+            return id;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string take_events(event_cursor& cursor, std::string_view bytes)
+{
+    cursor.partial.append(bytes);
+    std::string whole;
+    std::size_t begin = 0;
+    for (auto end = cursor.partial.find(event_end); end != std::string::npos;
+         end = cursor.partial.find(event_end, begin))
+    {
+        auto const next = end + event_end.size();
+        auto const event =
+            std::string_view{cursor.partial}.substr(begin, next - begin);
+        begin = next;
+        auto const id = id_of(event);
+        if (id && cursor.last_id && *id <= *cursor.last_id)
+            continue;
+        if (id)
+            cursor.last_id = id;
+        whole.append(event);
+    }
+    cursor.partial.erase(0, begin);
+    return whole;
+}
+
+void drop_partial(event_cursor& cursor)
+{
+    cursor.partial.clear();
+}
+
+} // namespace bramleyarch::decisions
--- /dev/null
+++ b/source/decisions/fleet_share.cpp
@@ -0,0 +1,91 @@
+#include "decisions/fleet_share.hpp"
+
+#include "common/digest.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace bramleyarch::decisions
+{
+
+namespace
+{
+
+constexpr double least_cold_rate = 0.2; ///< Requests a second.
+
+void advance(retry_share& share, retry_share_options const& options,
+             time_point at)
+{
+    auto const width =
+        options.window / static_cast<std::int64_t>(retry_share::slots);
+    auto const slot = at.time_since_epoch() / width;
+    auto const passed =
+        std::clamp<std::int64_t>(slot - share.slot, 0, retry_share::slots);
+    for (std::int64_t i = 1; i <= passed; ++i)
+    {
+        auto const index =
+            static_cast<std::size_t>(slot - passed + i) % retry_share::slots;
+        share.requests[index] = 0;
+        share.repeats[index] = 0;
+    }
+    share.slot = std::max(share.slot, slot);
+}
+
+std::size_t newest(retry_share const& share)
+{
+    return static_cast<std::size_t>(share.slot) % retry_share::slots;
+}
+
+double sum(std::array<std::uint32_t, retry_share::slots> const& counts)
+{
+    return std::accumulate(counts.begin(), counts.end(), 0.0);
+}
+
+} // namespace
+
+void count_request(retry_share& share, retry_share_options const& options,
+                   time_point at)
+{
+    advance(share, options, at);
+    ++share.requests[newest(share)];
+}
+
+bool take_repeat(retry_share& share, retry_share_options const& options,
+                 std::uint32_t routers, time_point at)
+{
+    advance(share, options, at);
+    auto const allowed =
+        options.used_part * (options.ratio * sum(share.requests) +
+                             options.slack / std::max(routers, 1U));
+    if (sum(share.repeats) + 1 > allowed)
+        return false;
+    ++share.repeats[newest(share)];
+    return true;
+}
+
+bool may_send_cold(server_id const& server, router_id const& self,
+                   std::vector<router_id> const& others,
+                   cold_share_options const& options)
+{
+    auto const key = name_hash(server.value);
+    auto const weight = [key](router_id const& id)
+    { return mix(key, name_hash(id.value)); };
+    auto const own = weight(self);
+    auto const ahead =
+        std::count_if(others.begin(), others.end(),
+                      [&](router_id const& id) { return weight(id) > own; });
+    return ahead < static_cast<std::ptrdiff_t>(options.senders);
+}
+
+duration cold_spacing(double cold_rate, cold_share_options const& options)
+{
+    // A router that keeps a spacing of t sends at most 1 / t + 1 requests in
+    // any second.
+    auto const limit = cold_rate * options.overage + options.slack;
+    auto const rate =
+        std::max(limit / (2.0 * options.senders) - 1, least_cold_rate);
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>{1 / rate});
+}
+
+} // namespace bramleyarch::decisions
--- /dev/null
+++ b/source/decisions/peer_beat.hpp
@@ -0,0 +1,35 @@
+/// What routers that admit their own requests tell each other.
+#pragma once
+
+#include "common/ids.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace bramleyarch::decisions
+{
+
+/// Requests of one router at one backend server.
+struct server_count
+{
+    std::uint64_t server = 0; ///< `name_hash` of the server's id.
+    std::uint32_t in_flight = 0;
+};
+
+/// A request body that was in flight when a server died.
+struct suspect_body
+{
+    std::uint64_t fingerprint = 0;
+    std::uint64_t server = 0; ///< `name_hash` of the server's id.
+};
+
+struct peer_beat
+{
+    router_id from;
+    incarnation started = 0;
+    std::uint64_t sequence = 0; ///< Rises within one start.
+    std::vector<server_count> loads;
+    std::vector<suspect_body> suspects;
+};
+
+} // namespace bramleyarch::decisions
--- /dev/null
+++ b/source/decisions/server_choice.cpp
@@ -0,0 +1,90 @@
+#include "decisions/server_choice.hpp"
+
+#include "common/digest.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace bramleyarch::decisions
+{
+
+namespace
+{
+
+/// A request in another domain costs bytes between domains: servers of the
+/// own one are taken until they have this much of their slots more in use.
+constexpr double domain_preference = 0.34;
+
+double use_of(server_option const& server)
+{
+    return (server.load + 1) * server.slowness / std::max(server.slots, 1U);
+}
+
+std::size_t least_used(std::vector<server_option> const& servers,
+                       std::uint64_t draw)
+{
+    auto const cost = [](server_option const& server)
+    { return use_of(server) + (server.own_domain ? 0 : domain_preference); };
+    std::size_t best = 0;
+    std::uint64_t ties = 0;
+    for (std::size_t i = 1; i < servers.size(); ++i)
+    {
+        auto const difference = cost(servers[i]) - cost(servers[best]);
+        if (difference > 0)
+            continue;
+        // Each of the equals is taken with the same chance.
+        ties = difference < 0 ? 0 : ties + 1;
+        if (difference < 0 || mix(draw, i) % (ties + 1) == 0)
+            best = i;
+    }
+    return best;
+}
+
+} // namespace
+
+std::optional<std::uint64_t>
+shared_prompt_key(std::vector<prompt_part> const& prompt)
+{
+    if (prompt.size() < 2)
+        return std::nullopt;
+    return prompt[prompt.size() - 2].id;
+}
+
+std::optional<server_choice> choose(std::vector<server_option> const& servers,
+                                    std::optional<std::uint64_t> prompt_key,
+                                    choice_options const& options,
+                                    std::uint64_t draw)
+{
+    if (servers.empty())
+        return std::nullopt;
+    if (!prompt_key)
+        return server_choice{.index = least_used(servers, draw)};
+    auto const total = std::accumulate(servers.begin(), servers.end(), 0.0,
+                                       [](double sum, server_option const& s)
+                                       { return sum + s.load; });
+    auto const bound =
+        options.spill_factor * total / static_cast<double>(servers.size()) +
+        options.spill_slack;
+    std::vector<std::size_t> order(servers.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::sort(order.begin(), order.end(),
+              [&](std::size_t a, std::size_t b)
+              {
+                  return mix(*prompt_key, servers[a].hash) >
+                         mix(*prompt_key, servers[b].hash);
+              });
+    for (auto const index : order)
+    {
+        auto const& server = servers[index];
+        if (server.load * server.slowness > bound ||
+            server.load >= server.slots)
+            continue;
+        return server_choice{.index = index,
+                             .cause = index == order.front()
+                                          ? choice_cause::first_of_prompt
+                                          : choice_cause::spilled};
+    }
+    return server_choice{.index = least_used(servers, draw)};
+}
+
+} // namespace bramleyarch::decisions
--- a/source/platform/etcd_json.cpp
+++ b/source/etcd/etcd_json.cpp
@@ -1,12 +1,12 @@
-#include "platform/etcd_json.hpp"
+#include "etcd/etcd_json.hpp"
 
-#include "platform/base64.hpp"
+#include "common/base64.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <charconv>
 
-namespace bramleyarch::platform
+namespace bramleyarch::etcd
 {
 
 using nlohmann::json;
@@ -65,4 +65,4 @@
             .version = integer_of(from, "version")};
 }
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch::etcd
--- a/source/platform/etcd_json.hpp
+++ b/source/etcd/etcd_json.hpp
@@ -2,7 +2,7 @@
 /// base64, and fields with their default value left out.
 #pragma once
 
-#include "platform/key_value.hpp"
+#include "etcd/key_value.hpp"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-namespace bramleyarch::platform
+namespace bramleyarch::etcd
 {
 
 /// Parses an object; a discarded value for anything else.
@@ -31,4 +31,4 @@
 /// A key-value pair of a range or a watch.
 kv_entry entry_of(nlohmann::json const& from);
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch::etcd
--- a/source/platform/etcd_replies.cpp
+++ b/source/etcd/etcd_replies.cpp
@@ -1,6 +1,6 @@
-#include "platform/etcd_replies.hpp"
+#include "etcd/etcd_replies.hpp"
 
-#include "platform/etcd_json.hpp"
+#include "etcd/etcd_json.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -8,7 +8,7 @@
 #include <algorithm>
 #include <array>
 
-namespace bramleyarch::platform
+namespace bramleyarch::etcd
 {
 
 namespace
@@ -109,4 +109,4 @@
     return integer_of(kept, "TTL");
 }
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch::etcd
--- a/source/platform/etcd_replies.hpp
+++ b/source/etcd/etcd_replies.hpp
@@ -2,12 +2,12 @@
 #pragma once
 
 #include "common/error.hpp"
-#include "platform/key_value.hpp"
+#include "etcd/key_value.hpp"
 
 #include <cstdint>
 #include <string_view>
 
-namespace bramleyarch::platform
+namespace bramleyarch::etcd
 {
 
 /// Reads the reply to a transaction. `platform_unavailable` for a refusal
@@ -22,4 +22,4 @@
 /// Seconds that a kept lease has left; 0: it has lapsed.
 result<std::int64_t> decode_lease_keep_alive(int status, std::string_view body);
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch::etcd
--- a/source/platform/etcd_requests.cpp
+++ b/source/etcd/etcd_requests.cpp
@@ -1,12 +1,12 @@
-#include "platform/etcd_requests.hpp"
+#include "etcd/etcd_requests.hpp"
 
-#include "platform/base64.hpp"
+#include "common/base64.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <chrono>
 
-namespace bramleyarch::platform
+namespace bramleyarch::etcd
 {
 
 namespace
@@ -116,4 +116,4 @@
     return {.target = "/v3/watch", .body = body.dump()};
 }
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch::etcd
--- a/source/platform/etcd_requests.hpp
+++ b/source/etcd/etcd_requests.hpp
@@ -2,13 +2,13 @@
 #pragma once
 
 #include "common/time.hpp"
-#include "platform/key_value.hpp"
+#include "etcd/key_value.hpp"
 
 #include <cstdint>
 #include <string>
 #include <string_view>
 
-namespace bramleyarch::platform
+namespace bramleyarch::etcd
 {
 
 /// Path and body of a POST.
@@ -33,4 +33,4 @@
 etcd_request encode_watch(std::string const& key, std::string const& range_end,
                           std::int64_t start_revision);
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch::etcd
--- a/source/platform/instance_record.cpp
+++ b/source/etcd/instance_record.cpp
@@ -1,11 +1,11 @@
-#include "platform/instance_record.hpp"
+#include "etcd/instance_record.hpp"
 
 #include "common/endpoint_text.hpp"
-#include "platform/etcd_json.hpp"
+#include "etcd/etcd_json.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace bramleyarch::platform
+namespace bramleyarch::etcd
 {
 
 namespace
@@ -54,4 +54,4 @@
     return record;
 }
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch::etcd
--- a/source/platform/instance_record.hpp
+++ b/source/etcd/instance_record.hpp
@@ -2,13 +2,13 @@
 #pragma once
 
 #include "common/ids.hpp"
-#include "platform/key_value.hpp"
+#include "etcd/key_value.hpp"
 
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace bramleyarch::platform
+namespace bramleyarch::etcd
 {
 
 /// What a router writes about itself below the instance prefix.
@@ -29,4 +29,4 @@
 std::optional<instance_record> decode_instance(std::string_view prefix,
                                                kv_entry const& entry);
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch::etcd
--- a/source/platform/key_value.hpp
+++ b/source/etcd/key_value.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace bramleyarch::platform
+namespace bramleyarch::etcd
 {
 
 /// A key with its value and revisions in the key-value service.
@@ -68,4 +68,4 @@
     std::vector<std::vector<kv_entry>> ranges;
 };
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch::etcd
--- a/source/platform/submit.cpp
+++ b/source/etcd/submit.cpp
@@ -1,11 +1,11 @@
-#include "platform/submit.hpp"
+#include "etcd/submit.hpp"
 
 #include "config/checks.hpp"
 #include "config/document_json.hpp"
 
 #include <fmt/format.h>
 
-namespace bramleyarch::platform
+namespace bramleyarch::etcd
 {
 
 namespace
@@ -100,4 +100,4 @@
                          stored.value.version, ours.version))};
 }
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch::etcd
--- a/source/platform/submit.hpp
+++ b/source/etcd/submit.hpp
@@ -11,13 +11,13 @@
 
 #include "common/error.hpp"
 #include "config/model.hpp"
-#include "platform/key_value.hpp"
+#include "etcd/key_value.hpp"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 
-namespace bramleyarch::platform
+namespace bramleyarch::etcd
 {
 
 /// A document as the key holds it.
@@ -62,4 +62,4 @@
 std::optional<result<revision>>
 settle_by_reading(pending_submit const& pending, stored_document const& stored);
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch::etcd
--- a/source/platform/watch_decoder.cpp
+++ b/source/etcd/watch_decoder.cpp
@@ -1,12 +1,12 @@
-#include "platform/watch_decoder.hpp"
+#include "etcd/watch_decoder.hpp"
 
-#include "platform/etcd_json.hpp"
+#include "etcd/etcd_json.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <optional>
 
-namespace bramleyarch::platform
+namespace bramleyarch::etcd
 {
 
 namespace
@@ -70,4 +70,4 @@
     return messages;
 }
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch::etcd
--- a/source/platform/watch_decoder.hpp
+++ b/source/etcd/watch_decoder.hpp
@@ -1,7 +1,7 @@
 /// The stream of a watch: JSON objects, one a line.
 #pragma once
 
-#include "platform/key_value.hpp"
+#include "etcd/key_value.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace bramleyarch::platform
+namespace bramleyarch::etcd
 {
 
 /// One message of a watch. Erased keys have a `create_revision` of 0.
@@ -37,4 +37,4 @@
 std::vector<watch_message> decode(watch_decoder& decoder,
                                   std::string_view bytes);
 
-} // namespace bramleyarch::platform
+} // namespace bramleyarch::etcd
--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -4,7 +4,7 @@
 #include "http/headers.hpp"
 
 #include <algorithm>
-#include <optional>
+#include <utility>
 
 namespace bramleyarch::http
 {
@@ -12,154 +12,125 @@
 namespace
 {
 
-void* to_opaque(std::uint64_t serial)
-{
-    return reinterpret_cast<void*>(static_cast<std::uintptr_t>(serial));
-}
-
-stream* stream_of(client& c, std::uint64_t id)
-{
-    auto const found = c.serials.find(id);
-    return found == c.serials.end() ? nullptr : &c.streams.at(found->second);
-}
-
-constexpr lws_protocols protocols[] = {
-    {"http", client_callback, 0, io_buffer_bytes, 0, nullptr, 0},
-    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
-};
+/// Largest head of a request that is sent; servers commonly take 16 KiB.
+constexpr std::size_t max_sent_head_bytes = 64U << 10;
 
-std::optional<error> refusal(client const& c, client_request const& request)
+bool is_sendable(client_request const& request)
 {
-    if (c.streams.size() >= c.options.max_connections)
-        return error{error_kind::too_many_connections, "to backend servers"};
-    if (request.target.empty() || request.target.front() != '/')
-        return error{error_kind::invalid_request, "target without a path"};
-    if (!is_valid({"target", request.target}) ||
+    if (!request.target.starts_with('/') ||
+        request.target.find_first_of(" \r\n") != std::string::npos ||
         !is_valid({request.method, ""}) ||
-        !std::all_of(request.headers.begin(), request.headers.end(), is_valid))
-        return error{error_kind::invalid_request, "control character in head"};
-    return std::nullopt;
+        !is_valid({"target", request.target}))
+        return false;
+    std::size_t size = request.target.size();
+    for (auto const& header : request.headers)
+        size += header.name.size() + header.value.size();
+    return size <= max_sent_head_bytes &&
+           std::all_of(request.headers.begin(), request.headers.end(),
+                       is_valid);
 }
 
-void connect(client& c, stream& s)
+void fail_unsent(client& c, std::uint64_t id, error_kind kind,
+                 std::string detail)
 {
-    auto const& to = s.request.to;
-    auto const host = to.address + ":" + std::to_string(to.port);
-    lws_client_connect_info info{};
-    info.context = c.loop.context.get();
-    info.address = to.address.c_str();
-    info.port = to.port;
-    info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
-    info.path = s.request.target.c_str();
-    info.host = host.c_str();
-    info.method = s.request.method.c_str();
-    info.protocol = protocols[0].name;
-    info.alpn = "http/1.1";
-    info.opaque_user_data = to_opaque(s.serial);
-    info.pwsi = &s.wsi;
-    auto const serial = s.serial;
-    auto* const wsi = lws_client_connect_via_info(&info);
-    auto const found = c.streams.find(serial);
-    if (found == c.streams.end())
-        return;
-    if (!wsi)
-        end_failed(c, found->second,
-                   {error_kind::server_connect_failed, "not started"});
+    report(c, response_failed{
+                  .id = id, .cause = {kind, std::move(detail)}, .sent = false});
 }
 
-void deliver(client& c)
+server_connection* find(client& c, std::uint64_t id)
 {
-    // Events that handlers add wait for the next call.
-    auto left = c.events.size();
-    while (left-- > 0 && !c.events.empty())
-    {
-        auto event = std::move(c.events.front());
-        c.events.pop_front();
-        c.options.on_event(std::move(event));
-    }
+    auto const found = c.serials.find(id);
+    return found == c.serials.end() ? nullptr
+                                    : c.connections.at(found->second).get();
 }
 
 } // namespace
 
 void client_deleter::operator()(client* c) const
 {
-    std::default_delete<client>{}(c);
+    *c->alive = false;
+    for (auto& [serial, s] : c->connections)
+    {
+        net::cancel(*c->loop, s->timer);
+        if (s->socket)
+            net::close(*s->socket);
+    }
+    delete c;
 }
 
 result<client_ptr> make_client(client_options options)
 {
-    client_ptr c{new client{}};
-    c->options = std::move(options);
-    auto info = context_info(c.get());
-    info.protocols = protocols;
-    info.max_http_header_data2 = io_buffer_bytes;
-    info.max_http_header_pool2 =
-        static_cast<unsigned>(c->options.max_connections) + 1;
-    auto context = create_context(info);
-    if (!context)
-        return std::move(context).as_failure();
-    c->loop.context = std::move(context).value();
+    client_ptr c{new client{.options = std::move(options)}};
+    c->loop = c->options.loop;
+    if (c->loop)
+        return c;
+    auto loop = net::make_loop();
+    if (!loop)
+        return std::move(loop).as_failure();
+    c->loop = std::move(loop).value();
     return c;
 }
 
 void open(client& c, client_request request)
 {
-    if (auto cause = refusal(c, request))
+    auto const id = request.id;
+    if (!is_sendable(request))
     {
-        c.events.emplace_back(response_failed{
-            .id = request.id, .cause = std::move(*cause), .sent = false});
+        fail_unsent(c, id, error_kind::invalid_request, "head can't be sent");
         return;
     }
-    stream s;
-    s.serial = ++c.last_serial;
-    s.credit = request.credit;
-    s.active_at = clock_now();
-    s.request = std::move(request);
-    c.timers.insert({s.active_at + s.request.connect_limit, s.serial});
-    c.serials[s.request.id] = s.serial;
-    auto const added = c.streams.emplace(s.serial, std::move(s)).first;
-    connect(c, added->second);
+    auto* const s = connection_for(c, request);
+    if (!s)
+    {
+        fail_unsent(c, id, error_kind::server_connect_failed,
+                    "no connection can be opened");
+        return;
+    }
+    c.serials[id] = s->serial;
+    s->busy = true;
+    s->credit = request.credit;
+    s->request = std::move(request);
+    if (s->kept)
+        send_request(c, *s);
 }
 
 void grant(client& c, std::uint64_t id, std::uint64_t bytes)
 {
-    auto* const s = stream_of(c, id);
+    auto* const s = find(c, id);
     if (!s)
         return;
     s->credit += std::min(bytes, UINT64_MAX - s->credit);
-    if (!s->paused || s->credit == 0)
+    s->active_at = net::clock_now();
+    if (s->held.empty())
         return;
-    s->paused = false;
-    s->active_at = clock_now();
-    lws_rx_flow_control(s->wsi, 1);
+    net::defer(*c.loop,
+               [&c, id, alive = c.alive]
+               {
+                   auto* const waiting = *alive ? find(c, id) : nullptr;
+                   if (waiting)
+                       read_answer(c, *waiting);
+               });
 }
 
 void close(client& c, std::uint64_t id)
 {
-    auto const has_id = [id](client_event const& event)
-    { return std::visit([id](auto const& e) { return e.id == id; }, event); };
-    std::erase_if(c.events, has_id);
-    auto* const s = stream_of(c, id);
-    if (!s)
-        return;
-    kill_connection(s->wsi);
-    forget(c, s->serial);
+    std::erase_if(c.events,
+                  [id](client_event const& event) {
+                      return std::visit(
+                          [id](auto const& e) { return e.id == id; }, event);
+                  });
+    if (auto* const s = find(c, id))
+        drop(c, *s);
 }
 
 void wait(client& c, duration limit)
 {
-    if (!c.events.empty())
-        limit = duration::zero();
-    if (!c.timers.empty())
-        limit = std::min(limit, c.timers.begin()->first - clock_now());
-    run_once(c.loop, limit);
-    run_timers(c, clock_now());
-    deliver(c);
+    net::wait(*c.loop, limit);
 }
 
 void wake(client& c)
 {
-    lws_cancel_service(c.loop.context.get());
+    net::wake(*c.loop);
 }
 
 } // namespace bramleyarch::http
--- a/source/http/client.hpp
+++ b/source/http/client.hpp
@@ -1,14 +1,12 @@
-/// HTTP/1.1 client on libwebsockets: many streamed requests on one event
-/// loop, never resent, with back pressure.
-///
-/// Each request has a connection of its own: the library resends a request
-/// that was queued on a connection which the server closes.
+/// HTTP/1.1 client on a loop: many streamed requests, never resent, with back
+/// pressure. Connections are kept per server, one request at a time on each.
 #pragma once
 
 #include "common/error.hpp"
 #include "common/ids.hpp"
 #include "common/request.hpp"
 #include "common/time.hpp"
+#include "net/loop.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -20,8 +18,8 @@
 namespace bramleyarch::http
 {
 
-/// A request to send. Header names are lower case; `host`,
-/// `content-length` and `connection` are set by the client.
+/// A request to send. Header names are lower case; `content-length`,
+/// `connection` and, if it is absent, `host` are set by the client.
 struct client_request
 {
     std::uint64_t id = 0; ///< Chosen by the user, unique while open.
@@ -34,8 +32,9 @@
     duration silence_limit = std::chrono::seconds{30}; ///< Between bytes.
     /// Answer bytes to read before `grant` is called.
     std::uint64_t credit = UINT64_MAX;
-    /// Without effect: each request has a connection of its own.
-    bool keep_alive = true;
+    /// May go on a connection that an earlier request left. A server can
+    /// close such a connection while the request is on its way.
+    bool may_reuse = false;
 };
 
 /// The connection stands; bytes of the request are about to be written.
@@ -69,6 +68,8 @@
     std::uint64_t id = 0;
     error cause;
     bool sent = true; ///< False: no byte of the request can have left.
+    /// It went on a kept connection and no byte of an answer came.
+    bool kept_connection = false;
 };
 
 using client_event = std::variant<request_sent, response_head, response_bytes,
@@ -81,11 +82,11 @@
     /// Called from `wait`, on its thread. May call `open`, `grant` and
     /// `close` of the same client.
     std::function<void(client_event)> on_event;
+    net::loop_ptr loop; ///< Null: a loop of its own.
     std::size_t max_connections = 4096;
     std::size_t max_idle_per_server = 32;
-    duration idle_limit = std::chrono::seconds{30};
-    /// Lower-case names of answer headers to report besides the common ones.
-    std::vector<std::string> extra_headers;
+    /// For kept connections; a shorter time that the server states goes first.
+    duration idle_limit = std::chrono::seconds{10};
 };
 
 struct client_deleter
--- a/source/http/client_io.cpp
+++ b/source/http/client_io.cpp
@@ -3,7 +3,9 @@
 #include "http/headers.hpp"
 
 #include <algorithm>
-#include <array>
+#include <charconv>
+#include <fmt/format.h>
+#include <utility>
 
 namespace bramleyarch::http
 {
@@ -11,306 +13,337 @@
 namespace
 {
 
-stream* stream_of(client& c, lws* wsi)
-{
-    auto const serial =
-        reinterpret_cast<std::uintptr_t>(lws_get_opaque_user_data(wsi));
-    auto const found = c.streams.find(serial);
-    return found == c.streams.end() ? nullptr : &found->second;
-}
+/// Largest head of an answer.
+constexpr std::size_t max_answer_head_bytes = 64U << 10;
 
-duration limit_of(stream const& s)
-{
-    return s.stage == stream_stage::connecting ? s.request.connect_limit
-                                               : s.request.silence_limit;
-}
+/// Share of the idle time that a server states for which its connection is
+/// used: the rest covers the way of the request and timers that fire late.
+constexpr double idle_share = 0.5;
 
-bool is_expired(stream const& s, time_point at)
-{
-    return !s.paused && s.active_at + limit_of(s) <= at;
-}
+/// Bytes held for want of credit beyond which the socket is not read.
+constexpr std::size_t max_held_bytes = 64U << 10;
 
-void expire(client& c, stream& s)
+void deliver(client& c)
 {
-    auto* const wsi = s.wsi;
-    if (s.stage == stream_stage::connecting)
-        end_failed(
-            c, s, {error_kind::server_connect_failed, "no connection in time"});
-    else
-        end_failed(c, s, {error_kind::server_silent, "no byte in time"});
-    kill_connection(wsi);
-}
-
-bool append_request_headers(stream const& s, lws* wsi, unsigned char** at,
-                            unsigned char* end)
-{
-    for (auto const& header : s.request.headers)
+    auto const alive = c.alive;
+    c.delivery_due = false;
+    while (*alive && !c.events.empty())
     {
-        if (!is_hop_by_hop(header.name) && !append_header(wsi, header, at, end))
-            return false;
+        auto event = std::move(c.events.front());
+        c.events.pop_front();
+        c.options.on_event(std::move(event));
     }
-    bool const bodyless =
-        s.request.method == "GET" || s.request.method == "HEAD";
-    std::size_t const size = s.request.body ? s.request.body->size() : 0;
-    if (size == 0 && bodyless)
-        return true;
-    return append_header(wsi, {"content-length", std::to_string(size)}, at,
-                         end);
 }
 
-int on_request_head(client& c, stream& s, lws* wsi, void* in, std::size_t room)
+/// Time for which the server keeps an idle connection, by its answer's
+/// `keep-alive: timeout=SECONDS`.
+duration stated_idle_limit(std::vector<header_field> const& headers,
+                           duration otherwise)
 {
-    auto** at = static_cast<unsigned char**>(in);
-    if (!append_request_headers(s, wsi, at, *at + room))
-    {
-        end_failed(c, s, {error_kind::header_too_large, "request head"});
-        return -1;
-    }
-    if (s.request.body && !s.request.body->empty())
-    {
-        lws_client_http_body_pending(wsi, 1);
-        lws_callback_on_writable(wsi);
-    }
-    s.stage = stream_stage::sending;
-    s.active_at = clock_now();
-    if (s.request.silence_limit < s.request.connect_limit)
-        c.timers.insert({s.active_at + s.request.silence_limit, s.serial});
-    c.events.emplace_back(request_sent{s.request.id});
-    return 0;
+    constexpr std::string_view key = "timeout=";
+    auto const text = find_header(headers, "keep-alive");
+    auto const at = text.find(key);
+    if (at == std::string_view::npos)
+        return otherwise;
+    int seconds = 0;
+    auto const* const begin = text.data() + at + key.size();
+    auto const parsed =
+        std::from_chars(begin, text.data() + text.size(), seconds);
+    if (parsed.ec != std::errc{})
+        return otherwise;
+    auto const stated = std::chrono::duration<double>{seconds * idle_share};
+    return std::min(otherwise, std::chrono::duration_cast<duration>(stated));
 }
 
-int on_writeable(stream& s, lws* wsi)
+void on_limit(client& c, server_connection& s);
+
+/// Limit of what the connection waits for.
+duration limit_of(server_connection const& s)
 {
-    if (!s.request.body || s.body_sent == s.request.body->size())
-        return 0;
-    std::array<unsigned char, LWS_PRE + io_buffer_bytes> buffer;
-    auto* const start = buffer.data() + LWS_PRE;
-    std::size_t const left = s.request.body->size() - s.body_sent;
-    std::size_t const size = std::min(left, io_buffer_bytes);
-    std::copy_n(s.request.body->data() + s.body_sent, size, start);
-    s.body_sent += size;
-    s.active_at = clock_now();
-    bool const last = size == left;
-    if (last)
-        lws_client_http_body_pending(wsi, 0);
-    else
-        lws_callback_on_writable(wsi);
-    auto const kind = last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP;
-    return lws_write(wsi, start, size, kind) < 0 ? -1 : 0;
+    if (!s.busy)
+        return s.idle_limit;
+    return s.stage == stream_stage::connecting ? s.request.connect_limit
+                                               : s.request.silence_limit;
 }
 
-void end_complete(client& c, stream& s)
+time_point start_of(server_connection const& s)
 {
-    c.events.emplace_back(response_end{s.request.id});
-    forget(c, s.serial);
+    return s.busy ? s.active_at : s.idle_since;
 }
 
-bool has_no_body(std::string_view method, int status, std::string_view length)
+void arm(client& c, server_connection& s)
 {
-    constexpr int no_content = 204;
-    constexpr int not_modified = 304;
-    return method == "HEAD" || status == no_content || status == not_modified ||
-           length == "0";
+    net::cancel(*c.loop, s.timer);
+    auto const due = start_of(s) + limit_of(s);
+    s.timer =
+        net::call_after(*c.loop, due - net::clock_now(),
+                        [&c, &s]
+                        {
+                            s.timer = 0;
+                            if (net::clock_now() < start_of(s) + limit_of(s))
+                                arm(c, s);
+                            else
+                                on_limit(c, s);
+                        });
 }
 
-bool is_final_status(int status)
+void on_limit(client& c, server_connection& s)
 {
-    return status >= 200 && status <= 599;
+    if (!s.busy)
+        drop(c, s);
+    else if (s.stage == stream_stage::connecting)
+        end_failed(c, s, {error_kind::server_connect_failed, "no connection"});
+    else if (!s.held.empty())
+    {
+        // Our own want of credit is not the server's silence.
+        s.active_at = net::clock_now();
+        arm(c, s);
+    }
+    else
+        end_failed(c, s, {error_kind::server_silent, "no byte in time"});
 }
 
-int on_response_head(client& c, stream& s, lws* wsi)
+/// The answer is whole: keeps the connection for the next request if it can.
+void finish(client& c, server_connection& s)
 {
-    auto const status = static_cast<int>(lws_http_client_http_response(wsi));
-    auto const encoding = known_header(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING);
-    auto const length = known_header(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
-    s.stage = stream_stage::answering;
-    s.active_at = clock_now();
-    s.ends_by_close = encoding.empty() && length.empty();
-    if (!is_final_status(status))
+    auto const id = s.request.id;
+    c.serials.erase(id);
+    report(c, response_end{id});
+    bool const reusable = s.parser.keep_alive && s.held.empty() &&
+                          !s.peer_closed && net::queued(*s.socket) == 0;
+    auto& idle = c.idle[s.to];
+    if (!reusable || idle.size() >= c.options.max_idle_per_server)
     {
-        end_failed(c, s, {error_kind::server_protocol, "status line"});
-        return -1;
+        drop(c, s);
+        return;
     }
-    c.events.emplace_back(response_head{
-        .id = s.request.id,
-        .status = status,
-        .headers = collect_headers(wsi, c.options.extra_headers)});
-    if (!has_no_body(s.request.method, status, length))
-        return 0;
-    end_complete(c, s);
-    return -1;
+    s.busy = false;
+    s.kept = true;
+    s.request = {};
+    s.idle_since = net::clock_now();
+    if (std::exchange(s.paused, false))
+        net::read(*s.socket, true);
+    idle.push_back(s.serial);
+    arm(c, s);
 }
 
-void pause_reading(stream& s)
+bool on_head(client& c, server_connection& s, message_head const& head)
 {
-    s.paused = true;
-    lws_rx_flow_control(s.wsi, 0);
+    s.stage = stream_stage::answering;
+    s.idle_limit = stated_idle_limit(head.headers, c.options.idle_limit);
+    auto headers = head.headers;
+    keep_end_to_end(headers);
+    if (!std::ranges::all_of(headers, is_valid))
+        return false;
+    report(c, response_head{.id = s.request.id,
+                            .status = head.status,
+                            .headers = std::move(headers)});
+    return true;
 }
 
-void on_closed(client& c, stream& s)
+void on_body(client& c, server_connection& s, std::string_view bytes)
 {
-    if (s.stage == stream_stage::answering && s.ends_by_close && !s.paused)
-        end_complete(c, s);
-    else if (s.stage == stream_stage::connecting)
-        end_failed(c, s, {error_kind::server_connect_failed, "closed"});
-    else
-        end_failed(c, s,
-                   {error_kind::server_closed, "before the answer's end"});
+    s.credit -= std::min<std::uint64_t>(s.credit, bytes.size());
+    report(c, response_bytes{.id = s.request.id, .bytes = std::string{bytes}});
 }
 
-int on_readable(client& c, stream& s, lws* wsi)
+void on_received(client& c, server_connection& s, std::string_view bytes)
 {
-    if (s.credit == 0)
+    if (!s.busy)
     {
-        pause_reading(s);
-        return 0;
+        // An answer that nobody asked for.
+        drop(c, s);
+        return;
     }
-    std::array<char, LWS_PRE + io_buffer_bytes> buffer;
-    char* const before = buffer.data() + LWS_PRE;
-    char* after = before;
-    auto room =
-        static_cast<int>(std::min<std::uint64_t>(s.credit, io_buffer_bytes));
-    s.reading = true;
-    int const failed = lws_http_client_read(wsi, &after, &room);
-    s.reading = false;
-    if (!s.completed)
-        return failed < 0 ? -1 : 0;
-    // The library says "completed" of a chunked answer that is cut off as
-    // well, but then it has read nothing and has not moved the pointer.
-    if (after != before)
-        end_complete(c, s);
-    else
-        on_closed(c, s);
-    return -1;
-}
-
-int on_body_bytes(client& c, stream& s, void const* in, std::size_t size)
-{
-    s.active_at = clock_now();
-    s.credit -= std::min<std::uint64_t>(s.credit, size);
-    c.events.emplace_back(response_bytes{
-        .id = s.request.id,
-        .bytes = std::string{static_cast<char const*>(in), size}});
-    if (s.credit == 0)
-        pause_reading(s);
-    return 0;
+    s.active_at = net::clock_now();
+    s.held.append(bytes);
+    read_answer(c, s);
 }
 
-void on_connection_error(client& c, stream& s, void const* in, std::size_t size)
+void on_ended(client& c, server_connection& s, net::ending how)
 {
-    std::string detail = "connection failed";
-    if (in)
-        detail.assign(static_cast<char const*>(in), size);
-    auto const kind = s.stage == stream_stage::connecting
-                          ? error_kind::server_connect_failed
-                          : error_kind::server_closed;
-    end_failed(c, s, {kind, std::move(detail)});
+    s.socket = nullptr;
+    if (!s.busy)
+    {
+        drop(c, s);
+        return;
+    }
+    if (how == net::ending::refused)
+    {
+        end_failed(c, s, {error_kind::server_connect_failed, "refused"});
+        return;
+    }
+    if (how == net::ending::closed && s.parser.state == parse_state::body)
+    {
+        s.peer_closed = true;
+        if (!s.held.empty())
+            return;
+        parse_end(s.parser);
+        if (s.parser.state == parse_state::complete)
+        {
+            finish(c, s);
+            return;
+        }
+    }
+    end_failed(c, s,
+               {error_kind::server_closed,
+                how == net::ending::reset ? "reset" : "closed early"});
 }
 
-void on_completed(client& c, stream& s)
+server_connection* open_connection(client& c, client_request const& request)
 {
-    if (s.reading)
-        s.completed = true;
-    else
-        on_closed(c, s);
+    if (c.connections.size() >= c.options.max_connections)
+        return nullptr;
+    auto owned = std::make_unique<server_connection>();
+    auto* const s = owned.get();
+    s->serial = ++c.last_serial;
+    s->to = request.to;
+    s->idle_limit = c.options.idle_limit;
+    start(s->parser, message_kind::response, max_answer_head_bytes);
+    s->parser.on_head = [&c, s](message_head const& head)
+    { return on_head(c, *s, head); };
+    s->parser.on_body = [&c, s](std::string_view bytes)
+    { on_body(c, *s, bytes); };
+    s->socket = net::connect(
+        *c.loop, request.to,
+        {.opened = [&c, s] { send_request(c, *s); },
+         .received = [&c, s](std::string_view bytes)
+         { on_received(c, *s, bytes); },
+         .taken = [s](std::size_t) { s->active_at = net::clock_now(); },
+         .ended = [&c, s](net::ending how) { on_ended(c, *s, how); }});
+    if (!s->socket)
+        return nullptr;
+    c.connections[s->serial] = std::move(owned);
+    s->busy = true;
+    s->active_at = net::clock_now();
+    s->request.connect_limit = request.connect_limit;
+    arm(c, *s);
+    return s;
 }
 
-int handle_stream(client& c, stream& s, lws* wsi, lws_callback_reasons reason,
-                  void* in, std::size_t size)
+std::string head_text(server_connection const& s)
 {
-    switch (reason)
+    auto const& request = s.request;
+    auto text =
+        fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+    if (find_header(request.headers, "host").empty())
+        append_header(text, "host",
+                      fmt::format("{}:{}", s.to.address, s.to.port));
+    for (auto const& header : request.headers)
     {
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-        return on_request_head(c, s, wsi, in, size);
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-        return on_writeable(s, wsi);
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-        return on_response_head(c, s, wsi);
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-        return on_readable(c, s, wsi);
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-        return on_body_bytes(c, s, in, size);
-    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-        on_completed(c, s);
-        return -1;
-    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-        on_connection_error(c, s, in, size);
-        return 0;
-    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-    case LWS_CALLBACK_WSI_DESTROY:
-        on_closed(c, s);
-        return 0;
-    default:
-        return 0;
+        if (!is_hop_by_hop(header.name))
+            append_header(text, header.name, header.value);
     }
-}
-
-/// Whether the library must close a connection whose stream has ended.
-bool closes_orphan(lws_callback_reasons reason)
-{
-    return reason == LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER ||
-           reason == LWS_CALLBACK_CLIENT_HTTP_WRITEABLE ||
-           reason == LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP ||
-           reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP ||
-           reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ ||
-           reason == LWS_CALLBACK_COMPLETED_CLIENT_HTTP;
+    auto const size = request.body ? request.body->size() : 0;
+    bool const bodyless = request.method == "GET" || request.method == "HEAD";
+    if (size > 0 || !bodyless)
+        append_header(text, "content-length", std::to_string(size));
+    if (!request.may_reuse)
+        append_header(text, "connection", "close");
+    return text + "\r\n";
 }
 
 } // namespace
 
-void forget(client& c, std::uint64_t serial)
+void report(client& c, client_event event)
 {
-    auto const found = c.streams.find(serial);
-    c.serials.erase(found->second.request.id);
-    c.streams.erase(found);
+    c.events.push_back(std::move(event));
+    if (std::exchange(c.delivery_due, true))
+        return;
+    net::defer(*c.loop,
+               [&c, alive = c.alive]
+               {
+                   if (*alive)
+                       deliver(c);
+               });
 }
 
-void end_failed(client& c, stream& s, error cause)
+server_connection* connection_for(client& c, client_request const& request)
 {
-    c.events.emplace_back(
-        response_failed{.id = s.request.id,
-                        .cause = std::move(cause),
-                        .sent = s.stage != stream_stage::connecting});
-    forget(c, s.serial);
+    auto const found = c.idle.find(request.to);
+    if (request.may_reuse && found != c.idle.end() && !found->second.empty())
+    {
+        auto const serial = found->second.back();
+        found->second.pop_back();
+        auto* const s = c.connections.at(serial).get();
+        s->stage = stream_stage::connecting;
+        s->peer_closed = false;
+        next_message(s->parser);
+        return s;
+    }
+    return open_connection(c, request);
 }
 
-void kill_connection(lws* wsi)
+void send_request(client& c, server_connection& s)
 {
-    if (!wsi)
-        return;
-    lws_set_opaque_user_data(wsi, nullptr);
-    lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    s.stage = stream_stage::sending;
+    s.active_at = net::clock_now();
+    s.parser.without_body = s.request.method == "HEAD";
+    arm(c, s);
+    report(c, request_sent{s.request.id});
+    net::write(*s.socket, head_text(s));
+    if (s.request.body)
+        net::write(*s.socket, *s.request.body);
 }
 
-/// A timer may be early, since activity does not move it: look and re-arm.
-void run_timers(client& c, time_point at)
+void read_answer(client& c, server_connection& s)
 {
-    while (!c.timers.empty() && c.timers.begin()->first <= at)
+    while (!s.held.empty() && s.parser.state != parse_state::complete)
+    {
+        bool const in_body = s.parser.state == parse_state::body;
+        if (in_body && s.credit == 0)
+            break;
+        // The head is parsed byte for byte with what follows it: limit the
+        // step so that the body's first bytes stay within the credit.
+        auto const step = std::min<std::uint64_t>(
+            s.held.size(), std::max<std::uint64_t>(s.credit, 1));
+        auto const used =
+            parse(s.parser, std::string_view{s.held}.substr(0, step));
+        s.held.erase(0, used);
+        if (s.parser.state == parse_state::failed)
+        {
+            end_failed(c, s, {error_kind::server_protocol, "malformed answer"});
+            return;
+        }
+    }
+    if (s.parser.state == parse_state::complete)
+    {
+        finish(c, s);
+        return;
+    }
+    if (s.peer_closed && s.held.empty())
+    {
+        on_ended(c, s, net::ending::closed);
+        return;
+    }
+    bool const pause = s.held.size() > max_held_bytes;
+    if (pause != s.paused && !s.peer_closed)
     {
-        auto const serial = c.timers.begin()->second;
-        c.timers.erase(c.timers.begin());
-        auto const found = c.streams.find(serial);
-        if (found == c.streams.end())
-            continue;
-        auto& s = found->second;
-        if (is_expired(s, at))
-            expire(c, s);
-        else
-            c.timers.insert(
-                {(s.paused ? at : s.active_at) + limit_of(s), serial});
+        s.paused = pause;
+        net::read(*s.socket, !pause);
     }
 }
 
-int client_callback(lws* wsi, lws_callback_reasons reason, void*, void* in,
-                    std::size_t size)
+void end_failed(client& c, server_connection& s, error cause)
+{
+    report(c, response_failed{.id = s.request.id,
+                              .cause = std::move(cause),
+                              .sent = s.stage != stream_stage::connecting,
+                              .kept_connection =
+                                  s.kept && s.stage == stream_stage::sending});
+    drop(c, s);
+}
+
+void drop(client& c, server_connection& s)
 {
-    auto* const context = wsi ? lws_get_context(wsi) : nullptr;
-    auto* const c =
-        context ? static_cast<client*>(lws_context_user(context)) : nullptr;
-    auto* const s = c ? stream_of(*c, wsi) : nullptr;
-    if (!s)
-        return closes_orphan(reason) ? -1 : 0;
-    return handle_stream(*c, *s, wsi, reason, in, size);
+    if (s.busy)
+        c.serials.erase(s.request.id);
+    else if (auto const found = c.idle.find(s.to); found != c.idle.end())
+        std::erase(found->second, s.serial);
+    net::cancel(*c.loop, s.timer);
+    if (s.socket)
+        net::close(*s.socket);
+    c.connections.erase(s.serial);
 }
 
 } // namespace bramleyarch::http
--- a/source/http/client_io.hpp
+++ b/source/http/client_io.hpp
@@ -1,13 +1,14 @@
-/// Requests of the HTTP client; used by its own files only.
+/// Requests and connections of the HTTP client; used by its own files only.
 #pragma once
 
 #include "http/client.hpp"
-#include "http/event_loop.hpp"
+#include "http/message.hpp"
+#include "net/tcp.hpp"
 
 #include <deque>
-#include <set>
+#include <map>
+#include <memory>
 #include <unordered_map>
-#include <utility>
 
 namespace bramleyarch::http
 {
@@ -19,51 +20,59 @@
     answering,
 };
 
-/// One request on its own connection. `serial` names it in the library's
-/// callbacks; the user's id may be used again after the end.
-struct stream
+/// One connection to a server and the request that uses it, if any.
+struct server_connection
 {
     std::uint64_t serial = 0;
+    endpoint to;
+    net::connection* socket = nullptr; ///< Null once it is closed.
+    message_parser parser;
+    bool kept = false;       ///< Has served a request before.
+    time_point idle_since{}; ///< Between requests.
+    duration idle_limit{};   ///< The server's own limit, or ours.
+    kernel::timer_id timer = 0;
+
+    bool busy = false;
     client_request request;
-    lws* wsi = nullptr;
     stream_stage stage = stream_stage::connecting;
     time_point active_at{}; ///< Last byte, or start.
-    std::size_t body_sent = 0;
     std::uint64_t credit = 0;
+    std::string held; ///< Received and not handed out for want of credit.
+    bool peer_closed = false; ///< While bytes are held.
     bool paused = false;
-    bool ends_by_close = false; ///< Neither length nor chunks in the head.
-    bool reading = false;       ///< Within `lws_http_client_read`.
-    bool completed = false;     ///< Reported while reading.
 };
 
-/// When to look at a stream's limits, and its serial.
-using due_stream = std::pair<time_point, std::uint64_t>;
-
 struct client
 {
     client_options options;
-    std::unordered_map<std::uint64_t, stream> streams;        ///< By serial.
+    net::loop_ptr loop;
+    std::unordered_map<std::uint64_t, std::unique_ptr<server_connection>>
+        connections;                                          ///< By serial.
     std::unordered_map<std::uint64_t, std::uint64_t> serials; ///< By id.
-    std::set<due_stream> timers; ///< One entry per stream; may be early.
+    std::map<endpoint, std::deque<std::uint64_t>> idle;       ///< Newest last.
     std::deque<client_event> events;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    bool delivery_due = false;
     std::uint64_t last_serial = 0;
-    event_loop loop;
 };
 
-/// The library's callback.
-int client_callback(lws* wsi, lws_callback_reasons reason, void* user, void* in,
-                    std::size_t size);
+/// Queues an event; it is delivered at the end of the loop's turn.
+void report(client& c, client_event event);
+
+/// Takes the newest usable kept connection to the request's server, or opens
+/// one; null when none can be had.
+server_connection* connection_for(client& c, client_request const& request);
 
-/// Forgets a stream; its connection is closed by its next callback.
-void forget(client& c, std::uint64_t serial);
+/// Writes the request of a connection that stands.
+void send_request(client& c, server_connection& s);
 
-/// Reports a failure and forgets the stream.
-void end_failed(client& c, stream& s, error cause);
+/// Hands out what credit allows of the bytes received.
+void read_answer(client& c, server_connection& s);
 
-/// Closes the connection from outside of its callbacks.
-void kill_connection(lws* wsi);
+/// Reports a failure of the connection's request and closes the connection.
+void end_failed(client& c, server_connection& s, error cause);
 
-/// Ends the streams whose limits have passed.
-void run_timers(client& c, time_point at);
+/// Closes and forgets the connection.
+void drop(client& c, server_connection& s);
 
 } // namespace bramleyarch::http
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -1,8 +1,11 @@
 #include "http/server.hpp"
 
+#include "http/headers.hpp"
 #include "http/server_io.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
+#include <utility>
 
 namespace bramleyarch::http
 {
@@ -10,63 +13,75 @@
 namespace
 {
 
-constexpr lws_protocols protocols[] = {
-    {"http", server_callback, 0, io_buffer_bytes, 0, nullptr, 0},
-    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
-};
-
-constexpr char const* vhost_name = "default";
-
 bool has_no_body(int status)
 {
     constexpr int no_content = 204;
     constexpr int not_modified = 304;
-    return status == no_content || status == not_modified;
+    return status < 200 || status == no_content || status == not_modified;
+}
+
+bool closes(server const& s, caller_connection const& c)
+{
+    return c.refused || c.close_after || s.reuse_ended;
 }
 
-void deliver(server& s)
+std::string head_text(server const& s, caller_connection const& c)
 {
-    // Events that handlers add wait for the next call.
-    auto left = s.events.size();
-    while (left-- > 0 && !s.events.empty())
+    auto const& start = *c.start;
+    auto text = fmt::format("HTTP/1.1 {} {}\r\n", start.status,
+                            reason_phrase(start.status));
+    for (auto const& header : start.headers)
     {
-        auto event = std::move(s.events.front());
-        s.events.pop_front();
-        s.options.on_event(std::move(event));
+        if (!is_hop_by_hop(header.name) && is_valid(header))
+            append_header(text, header.name, header.value);
     }
+    if (start.length && !has_no_body(start.status))
+        append_header(text, "content-length", std::to_string(*start.length));
+    if (c.chunked)
+        append_header(text, "transfer-encoding", "chunked");
+    if (closes(s, c))
+        append_header(text, "connection", "close");
+    return text + "\r\n";
 }
 
 } // namespace
 
 void server_deleter::operator()(server* s) const
 {
-    std::default_delete<server>{}(s);
+    *s->alive = false;
+    for (auto& [serial, c] : s->connections)
+    {
+        net::cancel(*s->loop, c->timer);
+        net::close(*c->socket);
+    }
+    if (s->listener)
+        net::close(*s->listener);
+    delete s;
 }
 
 result<server_ptr> make_server(server_options options)
 {
-    server_ptr s{new server{}};
-    s->options = std::move(options);
-    auto info = context_info(s.get());
-    info.protocols = protocols;
-    info.iface = s->options.listen.address.c_str();
-    info.port = s->options.listen.port;
-    info.vhost_name = vhost_name;
-    info.max_http_header_data2 =
-        static_cast<unsigned>(s->options.max_head_bytes);
-    info.max_http_header_pool2 =
-        static_cast<unsigned>(s->options.max_connections) + 1;
-    auto context = create_context(info);
-    if (!context)
-        return std::move(context).as_failure();
-    s->loop.context = std::move(context).value();
+    server_ptr s{new server{.options = std::move(options)}};
+    s->loop = s->options.loop;
+    if (!s->loop)
+    {
+        auto loop = net::make_loop();
+        if (!loop)
+            return std::move(loop).as_failure();
+        s->loop = std::move(loop).value();
+    }
+    auto listener = net::listen(*s->loop, s->options.listen,
+                                [raw = s.get()](net::connection& socket)
+                                { return accept_caller(*raw, socket); });
+    if (!listener)
+        return std::move(listener).as_failure();
+    s->listener = listener.value();
     return s;
 }
 
 std::uint16_t port_of(server const& s)
 {
-    auto* const vhost = lws_get_vhost_by_name(s.loop.context.get(), vhost_name);
-    return static_cast<std::uint16_t>(lws_get_vhost_listen_port(vhost));
+    return net::port_of(*s.listener);
 }
 
 void limit_body(server& s, std::size_t max_body_bytes)
@@ -74,6 +89,32 @@
     s.options.max_body_bytes = max_body_bytes;
 }
 
+void limit_callers(server& s, caller_limits const& limits)
+{
+    s.options.max_head_bytes = limits.max_head_bytes;
+    s.options.max_body_bytes = limits.max_body_bytes;
+    s.options.head_limit = limits.head_limit;
+    s.options.idle_limit = limits.idle_limit;
+}
+
+void end_reuse(server& s)
+{
+    s.reuse_ended = true;
+}
+
+void close_idle(server& s)
+{
+    std::vector<caller_connection*> idle;
+    for (auto& [serial, c] : s.connections)
+    {
+        if (c->exchange == 0 && c->parser.state == parse_state::head &&
+            c->parser.head_bytes == 0)
+            idle.push_back(c.get());
+    }
+    for (auto* c : idle)
+        drop(s, *c);
+}
+
 void start_answer(server& s, exchange_id id, answer_start start)
 {
     auto* const c = connection_of(s, id);
@@ -82,7 +123,8 @@
     c->bodyless = c->bodyless || has_no_body(start.status);
     c->chunked = !start.length && !c->bodyless;
     c->start = std::move(start);
-    request_write(*c);
+    net::write(*c->socket, head_text(s, *c));
+    restart_timer(s, *c);
 }
 
 void send_bytes(server& s, exchange_id id, std::string_view bytes)
@@ -93,28 +135,35 @@
     c->body_total += bytes.size();
     if (c->bodyless)
         return;
-    if (c->queue_at > c->queue.size() / 2)
+    if (c->body_queued == 0)
+        restart_timer(s, *c);
+    c->body_queued += bytes.size();
+    if (!c->chunked)
     {
-        c->queue.erase(0, c->queue_at);
-        c->queue_at = 0;
+        net::write(*c->socket, bytes);
+        return;
     }
-    c->queue.append(bytes);
-    request_write(*c);
+    auto text = fmt::format("{:x}\r\n", bytes.size());
+    text.append(bytes).append("\r\n");
+    net::write(*c->socket, text);
 }
 
 void end_answer(server& s, exchange_id id)
 {
     auto* const c = connection_of(s, id);
-    if (!c || !c->start)
+    if (!c || !c->start || c->ended)
         return;
     auto const& length = c->start->length;
     if (length && *length != c->body_total && !c->bodyless)
     {
-        drop_connection(s, *c);
+        drop(s, *c);
         return;
     }
     c->ended = true;
-    request_write(*c);
+    if (c->chunked)
+        net::write(*c->socket, "0\r\n\r\n");
+    if (net::queued(*c->socket) == 0)
+        finish_exchange(s, *c);
 }
 
 void break_answer(server& s, exchange_id id)
@@ -122,9 +171,9 @@
     auto* const c = connection_of(s, id);
     if (!c)
         return;
-    c->ended = false;
     c->broken = true;
-    request_write(*c);
+    if (net::queued(*c->socket) == 0)
+        drop(s, *c);
 }
 
 void abort_answer(server& s, exchange_id id)
@@ -136,7 +185,7 @@
                       return left && left->id == id;
                   });
     if (auto* const c = connection_of(s, id))
-        drop_connection(s, *c);
+        drop(s, *c);
 }
 
 void send_answer(server& s, exchange_id id, answer_start start,
@@ -151,10 +200,9 @@
 std::size_t queued_bytes(server const& s, exchange_id id)
 {
     auto const found = s.exchanges.find(id);
-    if (found == s.exchanges.end())
-        return 0;
-    auto const& c = s.connections.at(found->second);
-    return c.queue.size() - c.queue_at + c.writing;
+    return found == s.exchanges.end()
+               ? 0
+               : s.connections.at(found->second)->body_queued;
 }
 
 std::size_t open_exchanges(server const& s)
@@ -164,18 +212,12 @@
 
 void wait(server& s, duration limit)
 {
-    if (!s.events.empty())
-        limit = duration::zero();
-    if (!s.timers.empty())
-        limit = std::min(limit, s.timers.begin()->first - clock_now());
-    run_once(s.loop, limit);
-    run_timers(s, clock_now());
-    deliver(s);
+    net::wait(*s.loop, limit);
 }
 
 void wake(server& s)
 {
-    lws_cancel_service(s.loop.context.get());
+    net::wake(*s.loop);
 }
 
 } // namespace bramleyarch::http
--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -1,14 +1,13 @@
-/// HTTP/1.1 server on libwebsockets: whole requests in, streamed answers
-/// out, bounded in header size, body size, connections and waiting.
-///
-/// Each answer closes its connection: on a second request of a connection
-/// the library hands out the head as part of the body.
+/// HTTP/1.1 server on a loop: whole requests in, streamed answers out, bounded
+/// in header size, body size, connections and waiting. Connections are kept
+/// for further requests, which are handed out one at a time.
 #pragma once
 
 #include "common/error.hpp"
 #include "common/ids.hpp"
 #include "common/request.hpp"
 #include "common/time.hpp"
+#include "net/loop.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -30,8 +29,9 @@
 {
     exchange_id id = 0;
     std::string method;
-    std::string target;                ///< Path and query, percent-encoded.
-    std::vector<header_field> headers; ///< Lower-case names.
+    std::string target; ///< Path and query as they came.
+    /// Lower-case names; those of one connection are left out.
+    std::vector<header_field> headers;
     std::shared_ptr<std::string const> body;
 };
 
@@ -79,7 +79,8 @@
 {
     /// Called from `wait`, on its thread.
     std::function<void(server_event)> on_event;
-    endpoint listen; ///< Port 0: any free port.
+    net::loop_ptr loop; ///< Null: a loop of its own.
+    endpoint listen;    ///< Port 0: any free port.
     std::size_t max_connections = 4096;
     std::size_t max_head_bytes = 16U << 10;
     std::size_t max_body_bytes = 1U << 20;
@@ -87,8 +88,8 @@
     duration body_limit = std::chrono::seconds{30}; ///< To read a body.
     /// For a caller to take the next bytes of its answer.
     duration write_limit = std::chrono::seconds{60};
-    /// Lower-case names of request headers to report besides the common ones.
-    std::vector<std::string> extra_headers;
+    /// For the next request of a kept connection to begin.
+    duration idle_limit = std::chrono::seconds{60};
 };
 
 struct server_deleter
@@ -106,6 +107,23 @@
 /// Sets the limit for requests that are read from now on.
 void limit_body(server& s, std::size_t max_body_bytes);
 
+/// What a caller may send and how long it may take, from now on.
+struct caller_limits
+{
+    std::size_t max_head_bytes = 16U << 10;
+    std::size_t max_body_bytes = 1U << 20;
+    duration head_limit = std::chrono::seconds{10};
+    duration idle_limit = std::chrono::seconds{60};
+};
+
+void limit_callers(server& s, caller_limits const& limits);
+
+/// From now on each answer closes its connection.
+void end_reuse(server& s);
+
+/// Closes the kept connections that wait for a request.
+void close_idle(server& s);
+
 /// Head of an answer. Without a length the body goes out in chunks.
 struct answer_start
 {
--- a/source/kernel/kernel.cpp
+++ b/source/kernel/kernel.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <latch>
 #include <string>
+#include <utility>
 
 namespace bramleyarch::kernel
 {
@@ -27,7 +28,8 @@
 
 } // namespace
 
-kernel::kernel(run_mode mode) : mode_{mode}
+kernel::kernel(run_mode mode, shared_loop loop)
+    : mode_{mode}, loop_{std::move(loop)}
 {
     if (mode_ == run_mode::stepped)
         clock_.kind = clock_kind::manual;
@@ -43,7 +45,7 @@
     started_ = true;
     for (auto& t : tasks_)
     {
-        if (mode_ == run_mode::stepped)
+        if (mode_ != run_mode::threaded)
         {
             t.start();
             continue;
@@ -68,7 +70,7 @@
     stopping_ = true;
     for (auto t = tasks_.rbegin(); t != tasks_.rend(); ++t)
     {
-        if (mode_ == run_mode::stepped)
+        if (mode_ != run_mode::threaded)
         {
             t->stop();
             continue;
@@ -95,6 +97,20 @@
     t.stop();
 }
 
+void kernel::run(std::function<bool()> const& done)
+{
+    while (!done())
+    {
+        bool handled = false;
+        for (auto& t : tasks_)
+            handled = t.step() || handled;
+        duration limit = handled ? duration::zero() : max_wait;
+        if (auto const due = handled ? std::nullopt : next_timer())
+            limit = std::clamp(*due - now(clock_), duration::zero(), max_wait);
+        loop_.wait(limit);
+    }
+}
+
 void kernel::run_until_idle()
 {
     bool handled = true;
--- a/source/kernel/kernel.hpp
+++ b/source/kernel/kernel.hpp
@@ -1,4 +1,5 @@
-/// The micro-kernel: runs services as tasks, in threads or step by step.
+/// The micro-kernel: runs services as tasks, in threads, on one loop or step by
+/// step.
 #pragma once
 
 #include "common/time.hpp"
@@ -21,6 +22,15 @@
 {
     threaded, ///< One thread per task, system clock.
     stepped,  ///< No threads; tests deliver messages and advance the clock.
+    one_loop, ///< All tasks on the caller of `run`, over one event loop.
+};
+
+/// The event loop that all tasks of `one_loop` share. Their own loops are not
+/// used.
+struct shared_loop
+{
+    /// Handles socket events until `limit` has passed or one was handled.
+    std::function<void(duration limit)> wait;
 };
 
 /// One running service behind type-erased functions.
@@ -42,7 +52,7 @@
 class kernel
 {
 public:
-    explicit kernel(run_mode mode);
+    explicit kernel(run_mode mode, shared_loop loop = {});
     ~kernel();
     kernel(kernel const&) = delete;
     kernel& operator=(kernel const&) = delete;
@@ -58,7 +68,7 @@
         run->ctx.names = &names_;
         run->ctx.clock = &clock_;
         names_.publish(run->definition.name, run->ctx.self);
-        tasks_.push_back(make_task(run));
+        tasks_.push_back(make_task(run, mode_));
         return run->ctx.self;
     }
 
@@ -67,6 +77,9 @@
     /// Stops all tasks; messages still queued are dropped.
     void stop();
 
+    /// One loop: serves until `done` returns true, which is asked once a turn.
+    void run(std::function<bool()> const& done);
+
     /// Stepped mode: handles messages until every mailbox is empty.
     void run_until_idle();
 
@@ -85,12 +98,14 @@
     };
 
     template <class State, class Message>
-    static task make_task(std::shared_ptr<running<State, Message>> run);
+    static task make_task(std::shared_ptr<running<State, Message>> run,
+                          run_mode mode);
 
     void run_thread(task& t);
     [[nodiscard]] std::optional<time_point> next_timer() const;
 
     run_mode mode_;
+    shared_loop loop_;
     runtime_clock clock_;
     registry names_;
     std::list<task> tasks_;
@@ -99,16 +114,18 @@
 };
 
 template <class State, class Message>
-task kernel::make_task(std::shared_ptr<running<State, Message>> run)
+task kernel::make_task(std::shared_ptr<running<State, Message>> run,
+                       run_mode mode)
 {
     task made;
     made.name = run->definition.name;
-    made.start = [run]
+    made.start = [run, mode]
     {
         auto& definition = run->definition;
         if (definition.start)
             definition.start(definition.state, run->ctx);
-        if (definition.loop.wake)
+        // On one loop messages come only from its own thread.
+        if (definition.loop.wake && mode != run_mode::one_loop)
         {
             run->ctx.self.box->set_wake(
                 [state = &definition.state, wake = definition.loop.wake]
--- /dev/null
+++ b/source/net/address.hpp
@@ -0,0 +1,33 @@
+/// IPv4 addresses of sockets; used by this package only.
+#pragma once
+
+#include "common/ids.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <optional>
+
+namespace bramleyarch::net
+{
+
+inline std::optional<sockaddr_in> to_sockaddr(endpoint const& at)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(at.port);
+    if (inet_pton(AF_INET, at.address.c_str(), &address.sin_addr) != 1)
+        return std::nullopt;
+    return address;
+}
+
+inline std::uint16_t bound_port(int descriptor)
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    if (getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) !=
+        0)
+        return 0;
+    return ntohs(address.sin_port);
+}
+
+} // namespace bramleyarch::net
--- a/source/router/assembly.cpp
+++ b/source/router/assembly.cpp
@@ -39,8 +39,8 @@
 }
 
 /// What the platform's list says of this router.
-platform::instance_record listed_self(config::settings const& settings,
-                                      bound_ports const& ports)
+etcd::instance_record listed_self(config::settings const& settings,
+                                  bound_ports const& ports)
 {
     auto const with_port = [](endpoint address, shared_port const& port)
     {
--- a/source/services/admin/admin_service.cpp
+++ b/source/services/admin/admin_service.cpp
@@ -52,6 +52,14 @@
     state.config = changed.config->version;
 }
 
+void receive_one(admin_state& state, context&,
+                 deployment_changed const& changed)
+{
+    state.serves_deployment = changed.deployment->rules != nullptr;
+    if (state.serves_deployment)
+        state.config = changed.deployment->rules->version;
+}
+
 void receive_one(admin_state& state, context&, members_changed const& changed)
 {
     auto const& members = changed.view->members;
@@ -79,7 +87,8 @@
     state.clock = ctx.clock;
     bool const listens =
         open_server(state, to_name(service_name::admin),
-                    {.listen = state.options.listen,
+                    {.loop = state.options.loop,
+                     .listen = state.options.listen,
                      .max_connections = state.options.max_connections},
                     [](admin_state& to, auto&& event)
                     { on_event(to, std::forward<decltype(event)>(event)); });
--- a/source/services/admin/admin_service.hpp
+++ b/source/services/admin/admin_service.hpp
@@ -21,7 +21,8 @@
 
 struct admin_options
 {
-    endpoint listen; ///< Port 0: any free port.
+    net::loop_ptr loop; ///< Null: a loop of its own.
+    endpoint listen;    ///< Port 0: any free port.
     router_id router;
     std::size_t max_connections = 64;
     /// For the other services to answer.
@@ -51,6 +52,8 @@
     revision config = 0; ///< 0: none yet.
     /// Of this router in its own view; nothing before the first view.
     std::optional<member_state> standing;
+    /// Rules and servers are known; for routers that admit requests themselves.
+    bool serves_deployment = false;
     bool draining = false;
 };
 
--- a/source/services/backend/backend_service.cpp
+++ b/source/services/backend/backend_service.cpp
@@ -36,48 +36,48 @@
 }
 
 void attempt_failed(backend_state& state, std::uint64_t id, error cause,
-                    bool sent)
+                    bool sent, bool kept_connection = false)
 {
     count_failure(state, cause.kind);
     auto const attempt = state.attempts.at(id).attempt;
     forget(state, id);
-    send(state.owner, backend_failed{.attempt = attempt,
-                                     .cause = std::move(cause),
-                                     .sent = sent});
+    state.report(backend_failed{.attempt = attempt,
+                                .cause = std::move(cause),
+                                .sent = sent,
+                                .kept_connection = kept_connection});
 }
 
 void on_event(backend_state& state, http::request_sent const& event)
 {
     auto& open = state.attempts.at(event.id);
     open.sent = true;
-    send(state.owner, backend_sent{open.attempt});
+    state.report(backend_sent{open.attempt});
 }
 
 void on_event(backend_state& state, http::response_head event)
 {
-    send(state.owner,
-         backend_head{.attempt = state.attempts.at(event.id).attempt,
-                      .status = event.status,
-                      .headers = std::move(event.headers)});
+    state.report(backend_head{.attempt = state.attempts.at(event.id).attempt,
+                              .status = event.status,
+                              .headers = std::move(event.headers)});
 }
 
 void on_event(backend_state& state, http::response_bytes event)
 {
-    send(state.owner,
-         backend_chunk{.attempt = state.attempts.at(event.id).attempt,
-                       .bytes = std::move(event.bytes)});
+    state.report(backend_chunk{.attempt = state.attempts.at(event.id).attempt,
+                               .bytes = std::move(event.bytes)});
 }
 
 void on_event(backend_state& state, http::response_end const& event)
 {
     auto const attempt = state.attempts.at(event.id).attempt;
     forget(state, event.id);
-    send(state.owner, backend_end{attempt});
+    state.report(backend_end{attempt});
 }
 
 void on_event(backend_state& state, http::response_failed event)
 {
-    attempt_failed(state, event.id, std::move(event.cause), event.sent);
+    attempt_failed(state, event.id, std::move(event.cause), event.sent,
+                   event.kept_connection);
 }
 
 void handle_client_event(backend_state& state, http::client_event event)
@@ -102,9 +102,9 @@
                           : state.ids.contains(message.attempt)
                               ? error_kind::already_running
                               : error_kind::deadline_exceeded;
-        send(state.owner, backend_failed{.attempt = message.attempt,
-                                         .cause = {kind, "not dispatched"},
-                                         .sent = false});
+        state.report(backend_failed{.attempt = message.attempt,
+                                    .cause = {kind, "not dispatched"},
+                                    .sent = false});
         return;
     }
     auto const id = ++state.last_id;
@@ -119,7 +119,8 @@
                                .body = std::move(message.body),
                                .connect_limit = state.options.connect_limit,
                                .silence_limit = message.silence_limit,
-                               .credit = message.credit});
+                               .credit = message.credit,
+                               .may_reuse = message.may_reuse});
 }
 
 void receive_one(backend_state& state, context&, abort_attempt const& message)
@@ -203,13 +204,23 @@
 void start(backend_state& state, context& ctx)
 {
     state.owner = ctx.names->find<owner_message>(to_name(service_name::owner));
+    state.report = state.options.on_event;
+    if (!state.report)
+    {
+        state.report = [to = state.owner](attempt_event event)
+        {
+            std::visit([&to](auto&& e)
+                       { send(to, std::forward<decltype(e)>(e)); },
+                       std::move(event));
+        };
+    }
     state.metrics =
         ctx.names->find<metrics_message>(to_name(service_name::metrics));
     auto client =
         http::make_client({.on_event = [&state](http::client_event event)
                            { handle_client_event(state, std::move(event)); },
-                           .max_connections = state.options.max_connections,
-                           .extra_headers = state.options.extra_headers});
+                           .loop = state.options.loop,
+                           .max_connections = state.options.max_connections});
     if (client)
         state.client = std::move(client).value();
     else
--- a/source/services/backend/backend_service.hpp
+++ b/source/services/backend/backend_service.hpp
@@ -20,13 +20,13 @@
 
 struct backend_options
 {
+    net::loop_ptr loop; ///< Null: a loop of its own.
     std::size_t max_connections = 4096;
     duration connect_limit = std::chrono::seconds{2};
     /// From the start of a load report's request to its end.
     duration report_limit = std::chrono::seconds{1};
-    /// Lower-case names of answer headers to pass on besides the common ones.
-    std::vector<std::string> extra_headers{"x-resume-offset", "x-resumable",
-                                           "x-cached-tokens"};
+    /// Gets the events of attempts; empty: they go to the owner service.
+    std::function<void(attempt_event)> on_event;
 };
 
 /// An attempt that was given to the HTTP client.
@@ -53,6 +53,7 @@
 {
     backend_options options;
     http::client_ptr client;
+    std::function<void(attempt_event)> report;
     kernel::address<owner_message> owner;
     kernel::address<metrics_message> metrics;
     std::uint64_t last_id = 0;
--- /dev/null
+++ b/source/services/entry/backend_dialect.hpp
@@ -0,0 +1,59 @@
+/// What backend servers are told with a request and say with an answer, apart
+/// from its spelling.
+#pragma once
+
+#include "common/request.hpp"
+#include "config/deployment.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace bramleyarch::services
+{
+
+/// Whose answer it is and what it says of the request.
+enum class answer_standing
+{
+    genuine,      ///< The server's own answer to this request.
+    not_executed, ///< The server did not and will not run the request.
+    misdirected,  ///< Another server has the address; nothing was run.
+    foreign,      ///< Of another request, or without the server's signature.
+};
+
+constexpr auto enum_names(answer_standing)
+{
+    using a = answer_standing;
+    using row = enum_name<answer_standing>;
+    return std::array{
+        row{a::genuine, "genuine"}, row{a::not_executed, "not_executed"},
+        row{a::misdirected, "misdirected"}, row{a::foreign, "foreign"}};
+}
+
+/// Load that a server states with an answer.
+struct stated_load
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+struct answer_facts
+{
+    answer_standing standing = answer_standing::genuine;
+    std::optional<stated_load> load;
+};
+
+struct backend_dialect
+{
+    /// Headers of one attempt. `left` is the time that the server has;
+    /// `resume_after` the last event that the caller was sent.
+    std::vector<header_field> (*attempt_headers)(
+        routed_request const& request, config::listed_server const& server,
+        duration left, std::optional<std::uint64_t> resume_after) = nullptr;
+    answer_facts (*read_head)(routed_request const& request, int status,
+                              std::vector<header_field> const& headers) =
+        nullptr;
+};
+
+} // namespace bramleyarch::services
--- /dev/null
+++ b/source/services/entry/entry_service.cpp
@@ -0,0 +1,249 @@
+#include "services/entry/entry_service.hpp"
+
+#include "common/request_id_text.hpp"
+#include "services/entry/entry_parts.hpp"
+#include "services/messages/names.hpp"
+
+#include <fmt/format.h>
+#include <utility>
+
+namespace bramleyarch::services
+{
+
+namespace
+{
+
+constexpr int ticks_per_flush = 4;
+
+/// For this long a silent router counts among those that may send to a cold
+/// server.
+constexpr duration peer_memory = std::chrono::seconds{12};
+
+entry_request* find(entry_state& state, request_id const& id)
+{
+    auto const found = state.requests.find(id);
+    return found == state.requests.end() ? nullptr : &found->second;
+}
+
+void handle(entry_state& state, entry_context& ctx, submit_request message)
+{
+    count(state.counted, counter::requests_received);
+    auto const id = message.request.id;
+    auto& r = state.requests[id];
+    r.request = std::move(message.request);
+    r.reply = std::move(message.reply);
+    if (!state.deployment || !state.deployment->rules)
+    {
+        end_request(state, ctx, r, {error_kind::not_ready, "no rules yet"},
+                    retry_hint(state, state.options.retry_after));
+        return;
+    }
+    // A caller that resumes has what came up to its last event.
+    if (r.request.terms.resumable && r.request.resume_offset > 0)
+        r.cursor.last_id = r.request.resume_offset;
+    r.deadline_timer =
+        schedule(ctx, time_left(state, r, now(ctx)), request_expired{id});
+    send_attempt(state, ctx, r);
+    if (auto const* const sent = find(state, id))
+        decisions::count_request(state.retries[sent->request.service],
+                                 state.options.retries, now(ctx));
+}
+
+void handle(entry_state& state, entry_context& ctx,
+            cancel_request const& message)
+{
+    auto* const r = find(state, message.request);
+    if (!r)
+        return;
+    count(state.counted, counter::callers_gone);
+    log(state.counted, log_severity::info, "caller_left",
+        fmt::format("request={} server={} attempts={}", to_text(r->request.id),
+                    r->server.value, r->sent));
+    drop_attempt(state, ctx, *r);
+    forget(state, ctx, *r);
+}
+
+void handle(entry_state& state, entry_context&, caller_took const& message)
+{
+    if (auto const* const r = find(state, message.request))
+        send(state.backend,
+             backend_credit{{r->request.id, r->attempt}, message.bytes});
+}
+
+void handle(entry_state& state, entry_context& ctx,
+            request_expired const& message)
+{
+    auto* const r = find(state, message.request);
+    if (!r)
+        return;
+    r->deadline_timer = 0;
+    end_request(state, ctx, *r,
+                {error_kind::deadline_exceeded,
+                 fmt::format("server {} had it", r->server.value)});
+}
+
+/// The current attempt has given no byte for too long.
+void handle(entry_state& state, entry_context& ctx, offer_due const& message)
+{
+    auto* const r = find(state, message.request);
+    if (!r || r->server.empty())
+        return;
+    r->silence_timer = 0;
+    if (!decisions::take_repeat(state.retries[r->request.service],
+                                state.options.retries, state.routers, now(ctx)))
+    {
+        count(state.counted, counter::retries_denied);
+        return;
+    }
+    if (auto* const view = server_of(state, *r))
+        note_failure(state, *view, now(ctx));
+    r->may_have_run = true;
+    log(state.counted, log_severity::info, "attempt_given_up",
+        fmt::format("request={} attempt={} server={} after_ms={}",
+                    to_text(r->request.id), r->attempt, r->server.value,
+                    to_ms(now(ctx) - r->attempt_at)));
+    drop_attempt(state, ctx, *r);
+    r->last_failure = {error_kind::server_silent, "no byte in time"};
+    send_attempt(state, ctx, *r);
+}
+
+void handle(entry_state& state, entry_context& ctx, deployment_changed message)
+{
+    state.deployment = std::move(message.deployment);
+    take_servers(state, now(ctx));
+}
+
+void handle(entry_state& state, entry_context& ctx, attempt_event event)
+{
+    take_attempt_event(state, ctx, std::move(event));
+}
+
+/// Sums what the peers told within the time for which it counts.
+void sum_peers(entry_state& state, time_point at)
+{
+    for (auto& [id, view] : state.servers)
+        view.peers = 0;
+    for (auto const& [peer, loads] : state.peers)
+    {
+        if (at - loads.at > state.options.peer_loads_limit)
+            continue;
+        for (auto const& load : loads.loads)
+        {
+            auto const found = state.by_hash.find(load.server_hash);
+            if (found != state.by_hash.end())
+                found->second->peers += load.in_flight;
+        }
+    }
+}
+
+void handle(entry_state& state, entry_context& ctx, peer_report const& report)
+{
+    state.peers[report.peer] = {.at = now(ctx), .loads = report.loads};
+    sum_peers(state, now(ctx));
+}
+
+void handle(entry_state& state, entry_context& ctx, peer_suspect const& suspect)
+{
+    decisions::note_crash(state.crashes, suspect.fingerprint,
+                          suspect.server_hash, now(ctx));
+}
+
+void handle(entry_state& state, entry_context&, fleet_size const& message)
+{
+    state.routers = message.routers;
+}
+
+void handle(entry_state& state, entry_context&,
+            shared_limits_changed const& message)
+{
+    set_limits(state.options, message.limits);
+}
+
+void handle(entry_state& state, entry_context&, drain_started)
+{
+    state.draining = true;
+}
+
+void handle(entry_state& state, entry_context&, status_query const& query)
+{
+    query.reply(fmt::format(
+        R"({{"requests":{},"servers":{},"routers":{},"draining":{}}})",
+        state.requests.size(), state.servers.size(), state.routers,
+        state.draining));
+}
+
+void handle(entry_state& state, entry_context&, idle_query const& query)
+{
+    query.reply(state.requests.empty());
+}
+
+void handle(entry_state& state, entry_context& ctx, routing_tick)
+{
+    schedule(ctx, state.options.report_interval, routing_tick{});
+    std::erase_if(state.peers, [&](auto const& entry)
+                  { return now(ctx) - entry.second.at > peer_memory; });
+    sum_peers(state, now(ctx));
+    own_report report;
+    for (auto const& [id, view] : state.servers)
+    {
+        if (view.own > 0)
+            report.loads.push_back({view.hash, view.own});
+    }
+    send(state.peers_service, std::move(report));
+    if (++state.ticks % ticks_per_flush != 0)
+        return;
+    decisions::expire_crashes(state.crashes, now(ctx));
+    flush(state.counted);
+}
+
+/// Messages of fleets whose servers have owners.
+template <class Message>
+void handle(entry_state&, entry_context&, Message const&)
+{
+}
+
+void start(entry_state& state, entry_context& ctx)
+{
+    state.random.seed(state.options.seed);
+    connect(state.counted, *ctx.names);
+    state.backend =
+        ctx.names->find<backend_message>(to_name(service_name::backend));
+    state.peers_service =
+        ctx.names->find<peers_message>(to_name(service_name::peers));
+    schedule(ctx, state.options.report_interval, routing_tick{});
+}
+
+void receive(entry_state& state, entry_context& ctx, routing_message message)
+{
+    std::visit([&](auto&& m)
+               { handle(state, ctx, std::forward<decltype(m)>(m)); },
+               std::move(message));
+}
+
+void stop(entry_state& state, entry_context&)
+{
+    flush(state.counted);
+}
+
+} // namespace
+
+void set_limits(entry_options& options,
+                config::shared_limit_settings const& limits)
+{
+    options.retries.ratio = limits.retry_ratio;
+    options.retries.slack = limits.retry_slack;
+    options.retries.window = limits.retry_window;
+    options.cold.overage = limits.cold_overage;
+    options.cold.slack = limits.cold_slack;
+}
+
+entry_service make_entry_service(entry_options options)
+{
+    return {.name = std::string{to_name(service_name::routing)},
+            .state = {.options = std::move(options)},
+            .start = start,
+            .receive = receive,
+            .stop = stop};
+}
+
+} // namespace bramleyarch::services
--- a/source/services/front/answers.cpp
+++ b/source/services/front/answers.cpp
@@ -44,7 +44,8 @@
 /// Ends an answer under way so that it can't be taken for a whole one.
 void break_off(front_state& state, open_request const& open, problem const& p)
 {
-    if (open.is_event_stream)
+    // Another dialect's streams have no event of this kind.
+    if (open.is_event_stream && !state.options.dialect.refuse)
     {
         http::send_bytes(
             *state.server, open.exchange,
@@ -87,8 +88,15 @@
     open.is_event_stream = find_header(head.headers, "content-type")
                                .starts_with("text/event-stream");
     auto const length = length_of(head.headers);
-    head.headers.push_back({"x-bramley-server", head.server.value});
-    head.headers.push_back({"x-request-id", to_text(open.id)});
+    if (state.options.dialect.prepare_head)
+    {
+        state.options.dialect.prepare_head(head);
+    }
+    else
+    {
+        head.headers.push_back({"x-bramley-server", head.server.value});
+        head.headers.push_back({"x-request-id", to_text(open.id)});
+    }
     http::start_answer(*state.server, open.exchange,
                        {.status = head.status,
                         .headers = std::move(head.headers),
@@ -160,6 +168,15 @@
 
 void refuse(front_state& state, http::exchange_id exchange, problem const& p)
 {
+    if (state.options.dialect.refuse)
+    {
+        auto text = state.options.dialect.refuse(p);
+        http::send_answer(
+            *state.server, exchange,
+            {.status = text.status, .headers = std::move(text.headers)},
+            text.body);
+        return;
+    }
     http::send_answer(*state.server, exchange,
                       {.status = status_of(p), .headers = problem_headers(p)},
                       problem_json(p));
--- a/source/services/front/front_service.cpp
+++ b/source/services/front/front_service.cpp
@@ -1,5 +1,6 @@
 #include "services/front/front_service.hpp"
 
+#include "common/request_id_text.hpp"
 #include "services/front/answers.hpp"
 #include "services/loops/http_loop.hpp"
 #include "services/messages/names.hpp"
@@ -22,6 +23,9 @@
             error cause)
 {
     count(state.counted, counter::http_rejected);
+    log(state.counted, log_severity::info, "request_rejected",
+        fmt::format("request={} reason={} detail=\"{}\" outcome=not_run",
+                    to_text(id), to_name(cause.kind), cause.detail));
     refuse(
         state, exchange,
         {.cause = std::move(cause), .known = outcome::not_run, .request = id});
@@ -36,7 +40,10 @@
 {
     if (state.draining)
         return error{error_kind::draining, "this instance is stopping"};
-    if (!state.config)
+    bool const ready = state.options.dialect.route
+                           ? state.deployment && state.deployment->rules
+                           : state.config != nullptr;
+    if (!ready)
         return error{error_kind::not_ready, "no configuration yet"};
     return std::nullopt;
 }
@@ -65,13 +72,17 @@
         reject(state, request.id, id, std::move(*cause));
         return;
     }
-    auto routed = match_request(*state.config, state.teams,
-                                {.id = id,
-                                 .method = std::move(request.method),
-                                 .target = std::move(request.target),
-                                 .headers = std::move(request.headers),
-                                 .body = std::move(request.body),
-                                 .received = now(*state.clock)});
+    incoming_request incoming{.id = id,
+                              .method = std::move(request.method),
+                              .target = std::move(request.target),
+                              .headers = std::move(request.headers),
+                              .body = std::move(request.body),
+                              .received = now(*state.clock)};
+    auto routed =
+        state.options.dialect.route
+            ? state.options.dialect.route(*state.deployment,
+                                          std::move(incoming))
+            : match_request(*state.config, state.teams, std::move(incoming));
     if (!routed)
         reject(state, request.id, id, std::move(routed).error());
     else
@@ -117,11 +128,26 @@
     http::limit_body(*state.server, state.config->limits.max_body_bytes);
 }
 
+void receive_one(front_state& state, context&, deployment_changed message)
+{
+    state.deployment = std::move(message.deployment);
+    if (!state.deployment->rules)
+        return;
+    auto const& callers = state.deployment->rules->callers;
+    http::limit_callers(*state.server,
+                        {.max_head_bytes = callers.max_head_bytes,
+                         .max_body_bytes = callers.max_body_bytes,
+                         .head_limit = callers.head_limit,
+                         .idle_limit = callers.idle_limit});
+}
+
 /// Goes on listening: a caller that is told `not_run` can go elsewhere at
 /// once, while one whose connection is refused or reset can't know.
 void receive_one(front_state& state, context&, drain_started)
 {
     state.draining = true;
+    http::end_reuse(*state.server);
+    http::close_idle(*state.server);
 }
 
 void receive_one(front_state& state, context&, status_query const& message)
@@ -132,6 +158,11 @@
         state.draining));
 }
 
+void receive_one(front_state& state, context&, leaving_started)
+{
+    http::end_reuse(*state.server);
+}
+
 void receive_one(front_state& state, context&, idle_query const& message)
 {
     message.reply(http::open_exchanges(*state.server) == 0);
@@ -152,13 +183,13 @@
     connect(state.counted, *ctx.names);
     bool const listens =
         open_server(state, to_name(service_name::front),
-                    {.listen = state.options.listen,
+                    {.loop = state.options.loop,
+                     .listen = state.options.listen,
                      .max_connections = state.options.max_connections,
                      .max_head_bytes = state.options.max_head_bytes,
                      .head_limit = state.options.head_limit,
                      .body_limit = state.options.body_limit,
-                     .write_limit = state.options.write_limit,
-                     .extra_headers = request_header_names()},
+                     .write_limit = state.options.write_limit},
                     [](front_state& to, auto&& event)
                     { on_event(to, std::forward<decltype(event)>(event)); });
     if (listens)
--- a/source/services/front/front_service.hpp
+++ b/source/services/front/front_service.hpp
@@ -5,6 +5,7 @@
 #include "http/server.hpp"
 #include "kernel/service.hpp"
 #include "services/front/matching.hpp"
+#include "services/front/problem.hpp"
 #include "services/messages/front.hpp"
 #include "services/messages/routing.hpp"
 #include "services/telemetry/telemetry.hpp"
@@ -18,8 +19,30 @@
 namespace bramleyarch::services
 {
 
+/// A refusal as it is sent to a caller.
+struct refusal_text
+{
+    int status = 503;
+    std::vector<header_field> headers;
+    std::string body;
+};
+
+/// How a front end's HTTP reads and writes requests, where it is not the
+/// product's own interface.
+struct front_dialect
+{
+    /// Finds team, route, service and terms of a request.
+    result<routed_request> (*route)(config::deployment const& known,
+                                    incoming_request request) = nullptr;
+    refusal_text (*refuse)(problem const& p) = nullptr;
+    /// Removes what the caller is not to see, and adds what it needs.
+    void (*prepare_head)(answer_head& head) = nullptr;
+};
+
 struct front_options
 {
+    net::loop_ptr loop;      ///< Null: a loop of its own.
+    front_dialect dialect;   ///< Empty: the product's own interface.
     endpoint listen;         ///< Port 0: any free port.
     incarnation started = 0; ///< First part of each request's id.
     std::size_t max_connections = 4096;
@@ -52,6 +75,7 @@
     kernel::address<front_message> self;
     runtime_clock const* clock = nullptr;
     config_snapshot config;
+    std::shared_ptr<config::deployment const> deployment;
     team_index teams;
     std::unordered_map<request_id, open_request> requests;
     std::unordered_map<http::exchange_id, request_id> ids;
--- a/source/services/front/matching.cpp
+++ b/source/services/front/matching.cpp
@@ -169,6 +169,7 @@
                   [](header_field const& field)
                   {
                       return field.name == "authorization" ||
+                             field.name == "host" ||
                              field.name == "x-priority" ||
                              field.name == "x-resume-offset";
                   });
@@ -245,12 +246,6 @@
 
 } // namespace
 
-std::vector<std::string> request_header_names()
-{
-    return {"x-chat-id",       "x-priority",  "x-deadline-ms",
-            "idempotency-key", "traceparent", "x-resume-offset"};
-}
-
 team_index make_team_index(config::document const& config)
 {
     team_index index;
--- a/source/services/front/matching.hpp
+++ b/source/services/front/matching.hpp
@@ -15,9 +15,6 @@
 namespace bramleyarch::services
 {
 
-/// Header names that the front end reads or passes on besides common ones.
-std::vector<std::string> request_header_names();
-
 /// Teams by the SHA-256 digest of their API keys.
 using team_index = std::unordered_map<std::string, team_id>;
 
--- /dev/null
+++ b/source/services/lifecycle/lifecycle_service.cpp
@@ -0,0 +1,137 @@
+#include "services/lifecycle/lifecycle_service.hpp"
+
+#include "services/messages/names.hpp"
+
+#include <fmt/format.h>
+#include <utility>
+
+namespace bramleyarch::services
+{
+
+namespace
+{
+
+using context = kernel::context<lifecycle_message>;
+
+constexpr duration tick_interval = std::chrono::milliseconds{200};
+
+/// Ticks between looks at the settings' source.
+constexpr int ticks_per_look = 5;
+
+void reload(lifecycle_state& state)
+{
+    auto const parsed = state.options.read_settings();
+    for (auto const& fault : parsed.faults)
+        log(state.counted, log_severity::error, "reload_refused",
+            fmt::format("detail=\"{}\"", config::describe(fault)));
+    if (!parsed.faults.empty())
+        return;
+    state.options.limits = parsed.value.shared;
+    send(state.routing, shared_limits_changed{parsed.value.shared});
+    log(state.counted, log_severity::info, "reloaded",
+        fmt::format("retry_ratio={} retry_slack={} cold_overage={}",
+                    parsed.value.shared.retry_ratio,
+                    parsed.value.shared.retry_slack,
+                    parsed.value.shared.cold_overage));
+}
+
+void look_at_settings(lifecycle_state& state)
+{
+    if (++state.ticks % ticks_per_look != 0)
+        return;
+    auto stamp = state.options.settings_stamp();
+    if (stamp.empty() || stamp == state.stamp)
+        return;
+    state.stamp = std::move(stamp);
+    reload(state);
+}
+
+void end(lifecycle_state& state, std::string_view how)
+{
+    log(state.counted, log_severity::info, "stopped",
+        fmt::format("how={}", how));
+    *state.options.ended = true;
+}
+
+void go_on_stopping(lifecycle_state& state, time_point at)
+{
+    auto const passed = at - *state.stopping;
+    if (passed >= state.options.limits.stop_limit - state.options.stop_margin)
+    {
+        end(state, "limit_reached");
+        return;
+    }
+    if (passed < state.options.leave_time)
+        return;
+    // What is taken later might not be finished in time.
+    send(state.front, drain_started{});
+    if (state.callers_idle)
+    {
+        end(state, "all_answered");
+        return;
+    }
+    send(state.front, idle_query{[to = state.self](bool idle)
+                                 { send(to, idle_answer{idle}); }});
+}
+
+void receive_one(lifecycle_state& state, context& ctx, stop_requested)
+{
+    if (state.stopping)
+        return;
+    state.stopping = now(ctx);
+    log(state.counted, log_severity::info, "stopping",
+        fmt::format("limit_ms={}", to_ms(state.options.limits.stop_limit)));
+    send(state.admin, drain_started{});
+    send(state.front, leaving_started{});
+    send(state.routing, drain_started{});
+    send(state.store, drain_started{});
+}
+
+void receive_one(lifecycle_state& state, context&, reload_requested)
+{
+    state.stamp = state.options.settings_stamp();
+    reload(state);
+}
+
+void receive_one(lifecycle_state& state, context&, idle_answer const& answer)
+{
+    state.callers_idle = answer.idle;
+}
+
+void receive_one(lifecycle_state& state, context& ctx, lifecycle_tick)
+{
+    schedule(ctx, tick_interval, lifecycle_tick{});
+    look_at_settings(state);
+    if (state.stopping)
+        go_on_stopping(state, now(ctx));
+}
+
+void start(lifecycle_state& state, context& ctx)
+{
+    state.self = ctx.self;
+    connect(state.counted, *ctx.names);
+    state.front = ctx.names->find<front_message>(to_name(service_name::front));
+    state.admin = ctx.names->find<admin_message>(to_name(service_name::admin));
+    state.routing =
+        ctx.names->find<routing_message>(to_name(service_name::routing));
+    state.store = ctx.names->find<store_message>(to_name(service_name::store));
+    state.stamp = state.options.settings_stamp();
+    schedule(ctx, tick_interval, lifecycle_tick{});
+}
+
+void receive(lifecycle_state& state, context& ctx, lifecycle_message message)
+{
+    std::visit([&](auto const& m) { receive_one(state, ctx, m); }, message);
+}
+
+} // namespace
+
+lifecycle_service make_lifecycle_service(lifecycle_options options)
+{
+    return {.name = std::string{to_name(service_name::lifecycle)},
+            .state = {.options = std::move(options)},
+            .start = start,
+            .receive = receive};
+}
+
+} // namespace bramleyarch::services
--- a/source/services/messages/backend.hpp
+++ b/source/services/messages/backend.hpp
@@ -27,6 +27,8 @@
     std::uint32_t credit = 0; ///< Answer bytes to read before a grant.
     duration silence_limit{}; ///< Longest gap between bytes.
     time_point deadline{};
+    /// May go on a kept connection, which the server can close meanwhile.
+    bool may_reuse = false;
 };
 
 /// Closes the attempt's stream so that the server stops working on it.
--- a/source/services/messages/front.hpp
+++ b/source/services/messages/front.hpp
@@ -15,10 +15,16 @@
 {
 };
 
+/// The instance is leaving: requests are still taken, on connections that
+/// close with their answer.
+struct leaving_started
+{
+};
+
 /// Idle is a front end that has handed over all bytes of all answers.
 using front_message =
     std::variant<answer_message, config_changed, drain_started, status_query,
-                 idle_query, front_tick>;
+                 idle_query, front_tick, deployment_changed, leaving_started>;
 
 /// Text that answers an operator's HTTP request.
 struct admin_page
@@ -42,7 +48,8 @@
 {
 };
 
-using admin_message = std::variant<admin_page, config_changed, members_changed,
-                                   drain_started, admin_tick, admin_part>;
+using admin_message =
+    std::variant<admin_page, config_changed, members_changed, drain_started,
+                 admin_tick, admin_part, deployment_changed>;
 
 } // namespace bramleyarch::services
--- a/source/services/messages/names.hpp
+++ b/source/services/messages/names.hpp
@@ -20,6 +20,10 @@
     platform,      ///< Client of the platform's key-value service.
     timeline,      ///< Ring of events.
     metrics,       ///< Counters of all services.
+    log,           ///< Structured lines on standard output.
+    store,         ///< Client of the store that lists servers and rules.
+    peers,         ///< Loads that routers tell each other.
+    lifecycle,     ///< Orderly stop and reload.
 };
 
 constexpr auto enum_names(service_name)
@@ -33,6 +37,8 @@
         row{n::members, "members"},   row{n::configuration, "configuration"},
         row{n::claims, "claims"},     row{n::platform, "platform"},
         row{n::timeline, "timeline"}, row{n::metrics, "metrics"},
+        row{n::log, "log"},           row{n::store, "store"},
+        row{n::peers, "peers"},       row{n::lifecycle, "lifecycle"},
     };
 }
 
--- a/source/services/messages/owner.hpp
+++ b/source/services/messages/owner.hpp
@@ -108,8 +108,15 @@
     attempt_id attempt;
     error cause;
     bool sent = true; ///< False: no byte of the request can have left.
+    /// A kept connection gave no byte of an answer: it may have been closed
+    /// before the request came.
+    bool kept_connection = false;
 };
 
+/// What happens to an attempt that was dispatched.
+using attempt_event = std::variant<backend_sent, backend_head, backend_chunk,
+                                   backend_end, backend_failed>;
+
 /// Load that a backend server stated about itself.
 struct server_report
 {
--- a/source/services/messages/platform.hpp
+++ b/source/services/messages/platform.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "common/error.hpp"
-#include "platform/key_value.hpp"
+#include "etcd/key_value.hpp"
 #include "services/messages/shared.hpp"
 
 #include <cstdint>
@@ -15,13 +15,13 @@
 namespace bramleyarch::services
 {
 
-using platform::kv_action;
-using platform::kv_compare;
-using platform::kv_compare_target;
-using platform::kv_entry;
-using platform::kv_operation;
-using platform::kv_transaction;
-using platform::kv_transaction_reply;
+using etcd::kv_action;
+using etcd::kv_compare;
+using etcd::kv_compare_target;
+using etcd::kv_entry;
+using etcd::kv_operation;
+using etcd::kv_transaction;
+using etcd::kv_transaction_reply;
 
 /// Runs a transaction. `reply` is called once, on the platform task; it must
 /// only post to the asking task's mailbox. An error `platform_unavailable`
--- a/source/services/messages/routing.hpp
+++ b/source/services/messages/routing.hpp
@@ -1,6 +1,7 @@
 /// Messages of the routing service, the entry side of every request.
 #pragma once
 
+#include "config/settings.hpp"
 #include "services/messages/owner.hpp"
 
 #include <functional>
@@ -64,11 +65,46 @@
     request_id request;
 };
 
+/// Requests of one router at a backend server.
+struct counted_load
+{
+    std::uint64_t server_hash = 0; ///< `name_hash` of the server's id.
+    std::uint32_t in_flight = 0;
+};
+
+/// Loads that another router counts.
+struct peer_report
+{
+    router_id peer;
+    std::vector<counted_load> loads;
+};
+
+/// Another router saw a server die with this request in flight.
+struct peer_suspect
+{
+    std::uint64_t fingerprint = 0;
+    std::uint64_t server_hash = 0;
+};
+
+/// Limits of all routers together were set anew.
+struct shared_limits_changed
+{
+    config::shared_limit_settings limits;
+};
+
+/// How many routers there are, this one included.
+struct fleet_size
+{
+    std::uint32_t routers = 1;
+};
+
 using routing_message =
     std::variant<submit_request, cancel_request, caller_took,
                  owner_reply_received, config_changed, members_changed,
                  loads_changed, demand_changed, quarantine_notice, router_lost,
                  drain_started, status_query, routing_tick, request_expired,
-                 idle_query, offer_due, router_reached>;
+                 idle_query, offer_due, router_reached, deployment_changed,
+                 attempt_event, peer_report, peer_suspect, fleet_size,
+                 shared_limits_changed>;
 
 } // namespace bramleyarch::services
--- a/source/services/messages/shared.hpp
+++ b/source/services/messages/shared.hpp
@@ -4,6 +4,7 @@
 #include "common/ids.hpp"
 #include "common/member.hpp"
 #include "common/time.hpp"
+#include "config/deployment.hpp"
 #include "config/model.hpp"
 
 #include <cstdint>
@@ -25,6 +26,13 @@
     config_snapshot config;
 };
 
+/// Rules or servers of a deployment whose routers admit requests themselves
+/// changed.
+struct deployment_changed
+{
+    std::shared_ptr<config::deployment const> deployment;
+};
+
 using bramleyarch::member;
 using bramleyarch::member_state;
 using bramleyarch::member_view;
--- /dev/null
+++ b/source/services/peers/peers_service.cpp
@@ -0,0 +1,198 @@
+#include "services/peers/peers_service.hpp"
+
+#include "common/digest.hpp"
+#include "services/messages/names.hpp"
+#include "wire/peer_beats.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <thread>
+
+namespace bramleyarch::services
+{
+
+namespace
+{
+
+using context = kernel::context<peers_message>;
+
+constexpr duration tick_interval = std::chrono::seconds{1};
+
+/// Beats that tell of a suspected request: losing all of them is unlikely
+/// where some in a hundred datagrams are lost.
+constexpr int beats_per_suspect = 4;
+
+void tell_size(peers_state& state)
+{
+    auto const size = static_cast<std::uint32_t>(state.peers.size() + 1);
+    if (size == state.told_size)
+        return;
+    state.told_size = size;
+    send(state.routing, fleet_size{size});
+    log(state.counted, log_severity::info, "fleet_size",
+        fmt::format("routers={}", size));
+}
+
+void rebuild_order(peers_state& state)
+{
+    state.order.clear();
+    for (auto const& [id, p] : state.peers)
+        state.order.push_back(id);
+    tell_size(state);
+}
+
+void receive_one(peers_state& state, context& ctx, routers_listed const& listed)
+{
+    for (auto& [id, p] : state.peers)
+        p.listed = false;
+    for (auto const& router : listed.routers)
+    {
+        auto& p = state.peers[router.id];
+        p.heartbeat = router.heartbeat;
+        p.listed = true;
+        p.seen = now(ctx);
+    }
+    rebuild_order(state);
+}
+
+void take_beat(peers_state& state, std::string_view bytes)
+{
+    add(state.counted.counted, counter::control_bytes_received, bytes.size());
+    auto const decoded = wire::decode_beat(bytes);
+    if (!decoded)
+    {
+        count(state.counted, counter::heartbeats_malformed);
+        return;
+    }
+    auto const& beat = decoded.value();
+    auto const found = state.peers.find(beat.from);
+    if (found == state.peers.end())
+        return; // Not listed: the list names it shortly.
+    auto& p = found->second;
+    if (beat.started < p.started ||
+        (beat.started == p.started && beat.sequence <= p.sequence))
+        return;
+    count(state.counted, counter::heartbeats_received);
+    p.started = beat.started;
+    p.sequence = beat.sequence;
+    p.seen = now(*state.clock);
+    peer_report report{.peer = beat.from};
+    for (auto const& load : beat.loads)
+        report.loads.push_back(
+            {.server_hash = load.server, .in_flight = load.in_flight});
+    send(state.routing, std::move(report));
+    for (auto const& suspect : beat.suspects)
+        send(state.routing, peer_suspect{suspect.fingerprint, suspect.server});
+}
+
+/// Tells the next peers in turn.
+void receive_one(peers_state& state, context&, own_report const& own)
+{
+    if (!state.socket || state.order.empty())
+        return;
+    decisions::peer_beat beat{.from = state.options.self,
+                              .started = state.options.started,
+                              .sequence = ++state.sequence};
+    for (auto& suspect : state.suspects)
+    {
+        beat.suspects.push_back(suspect.body);
+        --suspect.beats_left;
+    }
+    std::erase_if(state.suspects,
+                  [](told_suspect const& s) { return s.beats_left <= 0; });
+    for (auto const& load : own.loads)
+        beat.loads.push_back({load.server_hash, load.in_flight});
+    auto const bytes = wire::encode_beat(beat);
+    auto const told = std::min(state.options.fan_out, state.order.size());
+    for (std::size_t i = 0; i < told; ++i)
+    {
+        auto const& id = state.order[state.next++ % state.order.size()];
+        net::send(*state.socket, state.peers.at(id).heartbeat, bytes);
+        count(state.counted, counter::heartbeats_sent);
+        count(state.counted, counter::control_bytes_sent, bytes.size());
+    }
+}
+
+void receive_one(peers_state& state, context&, own_suspect const& suspect)
+{
+    constexpr std::size_t most_suspects = 32;
+    if (state.suspects.size() >= most_suspects)
+        state.suspects.erase(state.suspects.begin());
+    state.suspects.push_back(
+        {{suspect.fingerprint, suspect.server_hash}, beats_per_suspect});
+}
+
+void receive_one(peers_state&, context&, drain_started) {}
+
+void receive_one(peers_state& state, context&, status_query const& query)
+{
+    query.reply(fmt::format(R"({{"peers":{}}})", state.peers.size()));
+}
+
+void receive_one(peers_state& state, context& ctx, peers_tick)
+{
+    schedule(ctx, tick_interval, peers_tick{});
+    std::erase_if(state.peers,
+                  [&](auto const& entry)
+                  {
+                      return !entry.second.listed &&
+                             now(ctx) - entry.second.seen >
+                                 state.options.absent_after;
+                  });
+    rebuild_order(state);
+    flush(state.counted);
+}
+
+void start(peers_state& state, context& ctx)
+{
+    state.self = ctx.self;
+    state.clock = ctx.clock;
+    connect(state.counted, *ctx.names);
+    state.routing =
+        ctx.names->find<routing_message>(to_name(service_name::routing));
+    auto socket = net::open_datagrams(*state.options.loop, state.options.listen,
+                                      [&state](endpoint, std::string_view bytes)
+                                      { take_beat(state, bytes); });
+    if (socket)
+        state.socket = socket.value();
+    else
+        log(state.counted, log_severity::error, "start_failed",
+            describe(socket.error()));
+    schedule(ctx, tick_interval, peers_tick{});
+}
+
+void receive(peers_state& state, context& ctx, peers_message message)
+{
+    std::visit([&](auto const& m) { receive_one(state, ctx, m); }, message);
+}
+
+void stop(peers_state& state, context&)
+{
+    if (state.socket)
+        net::close(*state.socket);
+    state.socket = nullptr;
+}
+
+void wait(peers_state& state, duration limit)
+{
+    net::wait(*state.options.loop, limit);
+}
+
+void wake(peers_state& state)
+{
+    net::wake(*state.options.loop);
+}
+
+} // namespace
+
+peers_service make_peers_service(peers_options options)
+{
+    return {.name = std::string{to_name(service_name::peers)},
+            .state = {.options = std::move(options)},
+            .start = start,
+            .receive = receive,
+            .stop = stop,
+            .loop = {.wait = wait, .wake = wake}};
+}
+
+} // namespace bramleyarch::services
--- /dev/null
+++ b/source/services/peers/peers_service.hpp
@@ -0,0 +1,72 @@
+/// The peers service: tells the other routers what this one has in flight and
+/// suspects, and learns the same of them, over UDP.
+#pragma once
+
+#include "decisions/peer_beat.hpp"
+#include "kernel/service.hpp"
+#include "net/udp.hpp"
+#include "services/messages/peers.hpp"
+#include "services/messages/routing.hpp"
+#include "services/telemetry/telemetry.hpp"
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace bramleyarch::services
+{
+
+struct peers_options
+{
+    net::loop_ptr loop;
+    router_id self;
+    incarnation started = 0;
+    endpoint listen; ///< UDP.
+    std::uint64_t seed = 0;
+    /// Routers that one beat goes to; more are told in turn.
+    std::size_t fan_out = 12;
+    /// A router that is not listed any more counts for this long after its
+    /// last beat: limits shared by all must not be split among too few.
+    duration absent_after = std::chrono::seconds{12};
+};
+
+/// Another router.
+struct peer
+{
+    endpoint heartbeat;
+    bool listed = false;
+    time_point seen{}; ///< Last listed or heard.
+    incarnation started = 0;
+    std::uint64_t sequence = 0;
+};
+
+/// A suspected request that goes into the next beats.
+struct told_suspect
+{
+    decisions::suspect_body body;
+    int beats_left = 0;
+};
+
+struct peers_state
+{
+    peers_options options;
+    net::datagram_socket* socket = nullptr;
+    std::map<router_id, peer> peers;
+    std::vector<router_id> order; ///< In which they are told.
+    std::size_t next = 0;
+    std::uint64_t sequence = 0;
+    std::uint32_t told_size = 0;
+    /// Told in some beats, since datagrams get lost.
+    std::vector<told_suspect> suspects;
+    kernel::address<routing_message> routing;
+    kernel::address<peers_message> self;
+    runtime_clock const* clock = nullptr;
+    telemetry counted;
+};
+
+using peers_service = kernel::service<peers_state, peers_message>;
+
+peers_service make_peers_service(peers_options options);
+
+} // namespace bramleyarch::services
--- a/source/services/platform/calls.cpp
+++ b/source/services/platform/calls.cpp
@@ -137,8 +137,7 @@
     return true;
 }
 
-http::client_request make_request(call_table& table,
-                                  platform::etcd_request request)
+http::client_request make_request(call_table& table, etcd::etcd_request request)
 {
     count(table.counts, counter::platform_calls);
     count(table.counts, counter::control_bytes_sent,
@@ -152,8 +151,8 @@
                 std::make_shared<std::string const>(std::move(request.body))};
 }
 
-void start_call(call_table& table, platform::etcd_request request,
-                duration timeout, call_handler done, time_point at)
+void start_call(call_table& table, etcd::etcd_request request, duration timeout,
+                call_handler done, time_point at)
 {
     if (table.waiting.size() >= table.options.max_waiting)
     {
--- a/source/services/platform/calls.hpp
+++ b/source/services/platform/calls.hpp
@@ -4,8 +4,8 @@
 
 #include "common/error.hpp"
 #include "common/time.hpp"
+#include "etcd/etcd_requests.hpp"
 #include "http/client.hpp"
-#include "platform/etcd_requests.hpp"
 #include "services/telemetry/telemetry.hpp"
 
 #include <cstdint>
@@ -47,7 +47,7 @@
 
 struct waiting_call
 {
-    platform::etcd_request request;
+    etcd::etcd_request request;
     time_point deadline{};
     call_handler done;
 };
@@ -84,8 +84,8 @@
 bool take_call(call_table& table, time_point at);
 
 /// Makes a call, or lets it wait for its turn.
-void start_call(call_table& table, platform::etcd_request request,
-                duration timeout, call_handler done, time_point at);
+void start_call(call_table& table, etcd::etcd_request request, duration timeout,
+                call_handler done, time_point at);
 
 /// Handles an event of a call; false when its id belongs to no call.
 bool handle_call_event(call_table& table, http::client_event const& event,
@@ -100,6 +100,6 @@
 
 /// Fields that all requests to the service share.
 http::client_request make_request(call_table& table,
-                                  platform::etcd_request request);
+                                  etcd::etcd_request request);
 
 } // namespace bramleyarch::services
--- a/source/services/platform/instances.cpp
+++ b/source/services/platform/instances.cpp
@@ -1,6 +1,6 @@
 #include "services/platform/instances.hpp"
 
-#include "platform/etcd_replies.hpp"
+#include "etcd/etcd_replies.hpp"
 
 #include <algorithm>
 
@@ -35,17 +35,17 @@
 {
     auto record = state.options.self();
     record.leaving = state.leaving;
-    auto const request = platform::encode_transaction(
-        {.on_success = {{.action = platform::kv_action::put,
+    auto const request = etcd::encode_transaction(
+        {.on_success = {{.action = etcd::kv_action::put,
                          .key = state.options.prefix + record.id.value,
-                         .value = platform::encode_instance(record),
+                         .value = etcd::encode_instance(record),
                          .lease = state.lease}}});
     auto const done = [&state, clock, leaving = record.leaving](
                           result<call_reply> const& reply)
     {
         bool const written =
-            reply && platform::decode_transaction(reply.value().status,
-                                                  reply.value().body);
+            reply &&
+            etcd::decode_transaction(reply.value().status, reply.value().body);
         if (written)
         {
             state.leaving_written = leaving;
@@ -64,14 +64,14 @@
     {
         if (!reply)
             return retry_later(state, clock());
-        auto const lease = platform::decode_lease_grant(reply.value().status,
-                                                        reply.value().body);
+        auto const lease =
+            etcd::decode_lease_grant(reply.value().status, reply.value().body);
         if (!lease)
             return retry_later(state, clock());
         state.lease = lease.value();
         write_record(state, calls, clock(), clock);
     };
-    start_call(calls, platform::encode_lease_grant(state.options.ttl),
+    start_call(calls, etcd::encode_lease_grant(state.options.ttl),
                state.options.call_timeout, done, at);
 }
 
@@ -82,26 +82,25 @@
     {
         if (!reply)
             return retry_later(state, clock());
-        auto const left = platform::decode_lease_keep_alive(
-            reply.value().status, reply.value().body);
+        auto const left = etcd::decode_lease_keep_alive(reply.value().status,
+                                                        reply.value().body);
         if (left && left.value() > 0)
             return registered(state, clock());
         if (left)
             state.lease = 0; // It has lapsed, as after a pause.
         retry_later(state, clock());
     };
-    start_call(calls, platform::encode_lease_keep_alive(state.lease),
+    start_call(calls, etcd::encode_lease_keep_alive(state.lease),
                state.options.call_timeout, done, at);
 }
 
 void deliver(instance_state const& state,
-             std::vector<platform::kv_entry> const& entries)
+             std::vector<etcd::kv_entry> const& entries)
 {
     instances_listed listed;
     for (auto const& entry : entries)
     {
-        auto const record =
-            platform::decode_instance(state.options.prefix, entry);
+        auto const record = etcd::decode_instance(state.options.prefix, entry);
         if (record)
             listed.instances.push_back({.id = record->id,
                                         .domain = record->domain,
@@ -125,18 +124,18 @@
                clock_function const& clock)
 {
     auto const& prefix = state.options.prefix;
-    auto const request = platform::encode_transaction(
-        {.on_success = {{.action = platform::kv_action::range,
+    auto const request = etcd::encode_transaction(
+        {.on_success = {{.action = etcd::kv_action::range,
                          .key = prefix,
-                         .range_end = platform::end_of_prefix(prefix)}}});
+                         .range_end = etcd::end_of_prefix(prefix)}}});
     auto const done = [&state, clock](result<call_reply> const& reply)
     {
         state.listing = false;
         state.list_at = clock() + state.options.list_interval;
         if (!reply)
             return;
-        auto const read = platform::decode_transaction(reply.value().status,
-                                                       reply.value().body);
+        auto const read =
+            etcd::decode_transaction(reply.value().status, reply.value().body);
         if (!read || read.value().ranges.empty())
             return;
         state.list_at =
--- a/source/services/platform/instances.hpp
+++ b/source/services/platform/instances.hpp
@@ -2,8 +2,8 @@
 /// reads the others.
 #pragma once
 
+#include "etcd/instance_record.hpp"
 #include "kernel/mailbox.hpp"
-#include "platform/instance_record.hpp"
 #include "services/messages/members.hpp"
 #include "services/platform/calls.hpp"
 
@@ -24,7 +24,7 @@
     std::uint32_t list_bytes_per_second = 400;
     /// Record of this router; one whose heartbeat port is 0 is not written
     /// yet.
-    std::function<platform::instance_record()> self;
+    std::function<etcd::instance_record()> self;
 };
 
 struct instance_state
--- a/source/services/platform/platform_service.cpp
+++ b/source/services/platform/platform_service.cpp
@@ -1,6 +1,6 @@
 #include "services/platform/platform_service.hpp"
 
-#include "platform/etcd_replies.hpp"
+#include "etcd/etcd_replies.hpp"
 #include "services/messages/names.hpp"
 
 #include <fmt/format.h>
@@ -29,10 +29,10 @@
         if (!got)
             reply(fail(got.error().kind, got.error().detail));
         else
-            reply(platform::decode_transaction(got.value().status,
-                                               got.value().body));
+            reply(
+                etcd::decode_transaction(got.value().status, got.value().body));
     };
-    start_call(s.calls, platform::encode_transaction(call.transaction),
+    start_call(s.calls, etcd::encode_transaction(call.transaction),
                call.timeout, std::move(done), now(ctx));
 }
 
@@ -43,10 +43,10 @@
         if (!got)
             reply(fail(got.error().kind, got.error().detail));
         else
-            reply(platform::decode_lease_grant(got.value().status,
-                                               got.value().body));
+            reply(
+                etcd::decode_lease_grant(got.value().status, got.value().body));
     };
-    start_call(s.calls, platform::encode_lease_grant(call.ttl), call.timeout,
+    start_call(s.calls, etcd::encode_lease_grant(call.ttl), call.timeout,
                std::move(done), now(ctx));
 }
 
--- a/source/services/platform/watches.cpp
+++ b/source/services/platform/watches.cpp
@@ -15,9 +15,8 @@
 void open_watch(watch& w, call_table& calls, time_point at)
 {
     auto request = make_request(
-        calls, platform::encode_watch(w.key, w.range_end, w.next_revision));
+        calls, etcd::encode_watch(w.key, w.range_end, w.next_revision));
     request.silence_limit = client_silence_limit;
-    request.keep_alive = false;
     w.request = request.id;
     w.heard_at = at;
     w.decoder = {};
@@ -46,13 +45,13 @@
 
 /// Whether the service has gone back behind what was seen, as after being
 /// restored from an old copy. A watch from a later revision would stay silent.
-bool has_gone_back(watch const& w, platform::watch_message const& message)
+bool has_gone_back(watch const& w, etcd::watch_message const& message)
 {
     return message.created && w.next_revision > message.revision + 1;
 }
 
 /// Takes one message; false when the watch has to be opened again.
-bool take_message(watch& w, platform::watch_message const& message)
+bool take_message(watch& w, etcd::watch_message const& message)
 {
     if (has_gone_back(w, message))
     {
@@ -82,7 +81,7 @@
 {
     w.heard_at = at;
     count(calls.counts, counter::control_bytes_received, bytes.size());
-    for (auto const& message : platform::decode(w.decoder, bytes))
+    for (auto const& message : etcd::decode(w.decoder, bytes))
     {
         note_reachable(calls, true, {});
         if (!take_message(w, message))
--- a/source/services/platform/watches.hpp
+++ b/source/services/platform/watches.hpp
@@ -2,7 +2,7 @@
 /// stay silent.
 #pragma once
 
-#include "platform/watch_decoder.hpp"
+#include "etcd/watch_decoder.hpp"
 #include "services/platform/calls.hpp"
 
 #include <cstdint>
@@ -25,13 +25,13 @@
 {
     std::string key;
     std::string range_end;
-    std::function<void(platform::kv_entry)> changed;
+    std::function<void(etcd::kv_entry)> changed;
     std::int64_t next_revision = 0; ///< To watch from; 0: from now on.
     std::uint64_t request = 0;      ///< Open HTTP request; 0: none.
     time_point heard_at{};
     time_point reopen_at{};
     std::uint32_t failures = 0; ///< In a row.
-    platform::watch_decoder decoder;
+    etcd::watch_decoder decoder;
 };
 
 struct watch_table
--- a/source/services/telemetry/telemetry.cpp
+++ b/source/services/telemetry/telemetry.cpp
@@ -11,6 +11,7 @@
 {
     t.timeline = names.find<timeline_message>(to_name(service_name::timeline));
     t.metrics = names.find<metrics_message>(to_name(service_name::metrics));
+    t.log = names.find<log_message>(to_name(service_name::log));
 }
 
 void count(telemetry& t, counter which, std::uint64_t by)
@@ -35,6 +36,14 @@
     t.samples.push_back({.kind = kind, .samples = {value}});
 }
 
+void log(telemetry& t, log_severity severity, std::string event,
+         std::string fields)
+{
+    kernel::send(t.log, log_line{.severity = severity,
+                                 .event = std::move(event),
+                                 .fields = std::move(fields)});
+}
+
 void flush(telemetry& t)
 {
     kernel::send(t.metrics, counters_added{t.counted});
--- a/source/services/telemetry/telemetry.hpp
+++ b/source/services/telemetry/telemetry.hpp
@@ -2,6 +2,7 @@
 /// and time line services.
 #pragma once
 
+#include "services/messages/log.hpp"
 #include "services/messages/timeline.hpp"
 
 #include "kernel/mailbox.hpp"
@@ -18,6 +19,7 @@
 {
     kernel::address<timeline_message> timeline;
     kernel::address<metrics_message> metrics;
+    kernel::address<log_message> log;
     counter_set counted;
     std::vector<latencies_observed> samples;
 };
@@ -34,6 +36,10 @@
 /// Adds a latency sample.
 void sample(telemetry& t, latency_kind kind, duration value);
 
+/// Writes a structured line: `fields` are "name=value" pairs.
+void log(telemetry& t, log_severity severity, std::string event,
+         std::string fields);
+
 /// Sends what was counted since the last call. Call it about once a second.
 void flush(telemetry& t);
 
--- /dev/null
+++ b/tests/unit/decisions/event_cursor_test.cpp
@@ -0,0 +1,67 @@
+/// Tests of the position in an event stream.
+#include "decisions/event_cursor.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace bramleyarch::decisions;
+
+namespace
+{
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: token\n\n";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(event_cursors)
+
+BOOST_AUTO_TEST_CASE(events_are_whole_however_the_bytes_arrive)
+{
+    std::string all;
+    for (int id = 1; id <= 20; ++id)
+        all += event(id);
+    for (std::size_t step = 1; step < 40; ++step)
+    {
+        event_cursor cursor;
+        std::string passed;
+        for (std::size_t at = 0; at < all.size(); at += step)
+        {
+            passed += take_events(cursor, all.substr(at, step));
+            BOOST_TEST((passed.empty() || passed.ends_with("\n\n")));
+        }
+        BOOST_TEST(passed == all);
+        BOOST_TEST(cursor.partial.empty());
+        BOOST_TEST(*cursor.last_id == 20U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_server_lost_within_an_event_leaves_no_gap_and_no_repeat)
+{
+    auto const first = event(1) + event(2) + event(3);
+    for (std::size_t cut = 0; cut <= first.size(); ++cut)
+    {
+        event_cursor cursor;
+        auto passed = take_events(cursor, first.substr(0, cut));
+        drop_partial(cursor);
+        auto const resumed = static_cast<int>(cursor.last_id.value_or(0));
+        // The second server may repeat the event that it was told of.
+        for (int id = std::max(resumed, 1); id <= 5; ++id)
+            passed += take_events(cursor, event(id));
+        BOOST_TEST(passed ==
+                       event(1) + event(2) + event(3) + event(4) + event(5),
+                   "cut at " << cut);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(events_without_an_id_pass)
+{
+    event_cursor cursor;
+    BOOST_TEST(take_events(cursor, "data: done\n\n") == "data: done\n\n");
+    BOOST_TEST(!cursor.last_id);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/decisions/server_choice_test.cpp
@@ -0,0 +1,140 @@
+/// Tests of the choice of a server, each under the load that it is for.
+#include "decisions/server_choice.hpp"
+
+#include "common/digest.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+#include <random>
+#include <set>
+
+using namespace bramleyarch;
+using namespace bramleyarch::decisions;
+
+namespace
+{
+
+std::vector<server_option> servers(std::size_t count)
+{
+    std::vector<server_option> made;
+    for (std::size_t i = 0; i < count; ++i)
+        made.push_back({.hash = name_hash("server-" + std::to_string(i)),
+                        .slots = 64,
+                        .own_domain = i % 3 == 0});
+    return made;
+}
+
+double mean_of(std::vector<server_option> const& all)
+{
+    return std::accumulate(all.begin(), all.end(), 0.0,
+                           [](double sum, auto const& s)
+                           { return sum + s.load; }) /
+           static_cast<double>(all.size());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(server_choices)
+
+BOOST_AUTO_TEST_CASE(the_last_shared_part_is_the_key)
+{
+    BOOST_TEST(*shared_prompt_key({{1, 500}, {2, 9000}, {3, 300}}) == 2U);
+    BOOST_TEST(!shared_prompt_key({{3, 300}}));
+    BOOST_TEST(!shared_prompt_key({}));
+}
+
+BOOST_AUTO_TEST_CASE(requests_of_one_prompt_meet_at_one_server)
+{
+    auto const all = servers(18);
+    std::set<std::size_t> met;
+    for (std::uint64_t draw = 0; draw < 100; ++draw)
+        met.insert(choose(all, 77, {}, draw)->index);
+    BOOST_TEST(met.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_server_moves_only_its_own_prompts)
+{
+    auto const all = servers(18);
+    auto fewer = all;
+    fewer.erase(fewer.begin() + 4);
+    for (std::uint64_t prompt = 1; prompt < 500; ++prompt)
+    {
+        auto const before = all[choose(all, prompt, {}, 0)->index].hash;
+        auto const after = fewer[choose(fewer, prompt, {}, 0)->index].hash;
+        if (before != all[4].hash)
+            BOOST_TEST(before == after);
+    }
+}
+
+/// One subject gets a quarter of all requests while the rest are spread: the
+/// load of its server stays within twice the mean and three requests.
+BOOST_AUTO_TEST_CASE(a_hot_prompt_spills_to_few_servers_within_the_limit)
+{
+    std::mt19937_64 random{11};
+    auto all = servers(18);
+    std::map<std::size_t, int> of_hot;
+    std::vector<std::size_t> running;
+    double worst = 0;
+    for (int i = 0; i < 4000; ++i)
+    {
+        bool const hot = random() % 4 == 0;
+        auto const prompt = hot ? 1 : 2 + random() % 160;
+        auto const choice = choose(all, prompt, {}, random());
+        all[choice->index].load += 1;
+        running.push_back(choice->index);
+        if (hot)
+            ++of_hot[choice->index];
+        worst = std::max(worst, all[choice->index].load - 2 * mean_of(all) - 3);
+        // About ninety requests run at once.
+        if (running.size() > 90)
+        {
+            auto const ended = random() % running.size();
+            all[running[ended]].load -= 1;
+            running.erase(running.begin() + static_cast<std::ptrdiff_t>(ended));
+        }
+    }
+    BOOST_TEST(worst <= 0);
+    BOOST_TEST(of_hot.size() < 12U);
+}
+
+BOOST_AUTO_TEST_CASE(
+    without_a_prompt_the_least_used_server_of_the_domain_serves)
+{
+    auto all = servers(3);
+    for (auto& server : all)
+        server.slots = 6;
+    BOOST_TEST(choose(all, std::nullopt, {}, 0)->index == 0U);
+    all[0].load = 5;
+    BOOST_TEST(choose(all, std::nullopt, {}, 0)->index != 0U);
+}
+
+BOOST_AUTO_TEST_CASE(equal_servers_share_requests_evenly)
+{
+    auto all = servers(4);
+    for (auto& server : all)
+        server.own_domain = true;
+    std::map<std::size_t, int> counts;
+    for (std::uint64_t draw = 0; draw < 4000; ++draw)
+        ++counts[choose(all, std::nullopt, {}, mix(draw, 3))->index];
+    for (auto const& [index, count] : counts)
+        BOOST_TEST((count > 800 && count < 1200),
+                   "server " << index << " got " << count);
+}
+
+BOOST_AUTO_TEST_CASE(a_full_server_is_not_chosen_while_others_have_room)
+{
+    auto all = servers(2);
+    auto const first = choose(all, 5, {}, 0)->index;
+    all[first].load = all[first].slots;
+    BOOST_TEST(choose(all, 5, {.spill_factor = 100}, 0)->index != first);
+}
+
+BOOST_AUTO_TEST_CASE(no_server_gives_no_choice)
+{
+    BOOST_TEST(!choose({}, 5, {}, 0).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/platform/etcd_codec_test.cpp
+++ b/tests/unit/etcd/etcd_codec_test.cpp
@@ -1,8 +1,8 @@
 /// Tests of the requests and replies of the etcd v3 JSON protocol.
-#include "platform/base64.hpp"
-#include "platform/etcd_replies.hpp"
-#include "platform/etcd_requests.hpp"
-#include "platform/instance_record.hpp"
+#include "common/base64.hpp"
+#include "etcd/etcd_replies.hpp"
+#include "etcd/etcd_requests.hpp"
+#include "etcd/instance_record.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -10,7 +10,7 @@
 #include <random>
 
 using namespace bramleyarch;
-using namespace bramleyarch::platform;
+using namespace bramleyarch::etcd;
 using namespace std::chrono_literals;
 using nlohmann::json;
 
--- a/tests/unit/platform/submit_test.cpp
+++ b/tests/unit/etcd/submit_test.cpp
@@ -1,11 +1,11 @@
 /// Tests of submits: races, and answers that were lost.
 #include "config/document_json.hpp"
-#include "platform/submit.hpp"
+#include "etcd/submit.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace bramleyarch;
-using namespace bramleyarch::platform;
+using namespace bramleyarch::etcd;
 
 namespace
 {
--- a/tests/unit/platform/watch_decoder_test.cpp
+++ b/tests/unit/etcd/watch_decoder_test.cpp
@@ -1,9 +1,9 @@
 /// Tests of the stream of a watch.
-#include "platform/watch_decoder.hpp"
+#include "etcd/watch_decoder.hpp"
 
 #include <boost/test/unit_test.hpp>
 
-using namespace bramleyarch::platform;
+using namespace bramleyarch::etcd;
 
 namespace
 {
--- /dev/null
+++ b/tests/unit/platform/store_codec_test.cpp
@@ -0,0 +1,80 @@
+/// Tests of the store's calls.
+#include "platform/store_codec.hpp"
+
+#include "common/base64.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <nlohmann/json.hpp>
+
+using namespace bramleyarch;
+using namespace bramleyarch::platform;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+BOOST_AUTO_TEST_SUITE(platform_store_codec)
+
+BOOST_AUTO_TEST_CASE(lists_go_on_after_the_last_key)
+{
+    auto const codec = store_codec();
+    BOOST_TEST(codec.list("").target == "/kv-range?PathPrefix=");
+    BOOST_TEST(codec.list("a b/c").target ==
+               "/kv-range?PathPrefix=&After=a%20b/c");
+    json const page{{"Items",
+                     {{{"Key", "op/evacuate/a"},
+                       {"Value", to_base64("{}")},
+                       {"Revision", 4}},
+                      {{"Key", "servers/i-1"}, {"Value", "?"}, {"Revision", 5}},
+                      "no item"}},
+                    {"MorePages", true},
+                    {"AsOf", 9}};
+    auto const read = codec.read_list(page.dump());
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read.value().more);
+    BOOST_TEST(read.value().as_of == 9U);
+    BOOST_TEST(read.value().last_key == "servers/i-1");
+    BOOST_REQUIRE(read.value().changes.size() == 2U);
+    BOOST_TEST(std::holds_alternative<decisions::unusable_entry>(
+        read.value().changes[1].content));
+}
+
+BOOST_AUTO_TEST_CASE(watches_tell_writes_from_removals)
+{
+    auto const codec = store_codec();
+    BOOST_TEST(codec.watch(411, 2500ms).target ==
+               "/kv-watch?PathPrefix=&After=411&WaitMs=2500");
+    json const seen{
+        {"events",
+         {{{"Key", "servers/i-1"}, {"Revision", 412}, {"Deleted", true}}}},
+        {"AsOf", 412}};
+    auto const read = codec.read_watch(seen.dump());
+    BOOST_REQUIRE(read.has_value());
+    BOOST_REQUIRE(read.value().changes.size() == 1U);
+    BOOST_TEST(read.value().changes[0].removed);
+    BOOST_TEST(read.value().changes[0].changed == 412U);
+}
+
+BOOST_AUTO_TEST_CASE(answers_that_can_not_be_read_are_errors)
+{
+    auto const codec = store_codec();
+    for (std::string const text : {"", "[]", "{}", R"({"Items":7,"AsOf":1})",
+                                   R"({"Items":[],"AsOf":"x"})", "\xff"})
+    {
+        BOOST_TEST(!codec.read_list(text).has_value(), text);
+        BOOST_TEST(!codec.read_watch(text).has_value(), text);
+        BOOST_TEST(!codec.read_lease(text).has_value(), text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_router_lists_itself_under_its_lease)
+{
+    auto const codec = store_codec();
+    auto const call = codec.list_router({{"r1"}, {"10.0.0.1", 7340}}, 77120);
+    auto const body = json::parse(call.body);
+    BOOST_TEST(body["SetKeys"][0]["Key"] == "routers/r1");
+    BOOST_TEST(body["SetKeys"][0]["Lease"] == 77120);
+    BOOST_TEST(codec.renew_lease(5).target == "/kv-keep/5");
+    BOOST_TEST(codec.read_lease(R"({"Lease":5,"TtlMs":3})").value() == 5U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
