Probe servers that give nothing; keep long prompts where they are cached

Now a server from which nothing came since a request was sent is probed by opening a connection; one that can't be reached is left out and loses the requests that may go on elsewhere.

--- a/source/decisions/server_choice.cpp
+++ b/source/decisions/server_choice.cpp
@@ -42,36 +42,41 @@
 
 } // namespace
 
-std::optional<std::uint64_t>
-shared_prompt_key(std::vector<prompt_part> const& prompt)
+std::optional<shared_prompt>
+shared_prompt_of(std::vector<prompt_part> const& prompt)
 {
     if (prompt.size() < 2)
         return std::nullopt;
-    return prompt[prompt.size() - 2].id;
+    shared_prompt shared{.key = prompt[prompt.size() - 2].id};
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+        shared.tokens += prompt[i].tokens;
+    return shared;
 }
 
 std::optional<server_choice> choose(std::vector<server_option> const& servers,
-                                    std::optional<std::uint64_t> prompt_key,
+                                    std::optional<shared_prompt> prompt,
                                     choice_options const& options,
                                     std::uint64_t draw)
 {
     if (servers.empty())
         return std::nullopt;
-    if (!prompt_key)
+    if (!prompt)
         return server_choice{.index = least_used(servers, draw)};
     auto const total = std::accumulate(servers.begin(), servers.end(), 0.0,
                                        [](double sum, server_option const& s)
                                        { return sum + s.load; });
+    bool const is_long = prompt->tokens >= options.long_prompt_tokens;
+    auto const mean = total / static_cast<double>(servers.size());
     auto const bound =
-        options.spill_factor * total / static_cast<double>(servers.size()) +
-        options.spill_slack;
+        is_long ? options.long_spill_factor * mean + options.long_spill_slack
+                : options.spill_factor * mean + options.spill_slack;
     std::vector<std::size_t> order(servers.size());
     std::iota(order.begin(), order.end(), std::size_t{0});
     std::sort(order.begin(), order.end(),
               [&](std::size_t a, std::size_t b)
               {
-                  return mix(*prompt_key, servers[a].hash) >
-                         mix(*prompt_key, servers[b].hash);
+                  return mix(prompt->key, servers[a].hash) >
+                         mix(prompt->key, servers[b].hash);
               });
     for (auto const index : order)
     {
--- a/source/decisions/server_choice.hpp
+++ b/source/decisions/server_choice.hpp
@@ -50,6 +50,13 @@
     double spill_factor = 1.6;
     /// Requests beyond that, so that an idle fleet does not spill at once.
     double spill_slack = 2.5;
+    /// The same for prompts whose shared parts take long to read anew; up to
+    /// the platform's limit.
+    double long_spill_factor = 1.9;
+    double long_spill_slack = 3;
+    /// Shared tokens from which a prompt counts as long: some tenth of a
+    /// second of a server's reading.
+    std::uint32_t long_prompt_tokens = 4000;
 };
 
 struct server_choice
@@ -58,15 +65,22 @@
     choice_cause cause = choice_cause::least_loaded;
 };
 
+/// What requests with one prompt share.
+struct shared_prompt
+{
+    std::uint64_t key = 0; ///< Of the last shared part.
+    std::uint32_t tokens = 0;
+};
+
 /// The part by which requests with this prompt find their server: the last
 /// one that others share too. Nothing when there is no shared part.
-std::optional<std::uint64_t>
-shared_prompt_key(std::vector<prompt_part> const& prompt);
+std::optional<shared_prompt>
+shared_prompt_of(std::vector<prompt_part> const& prompt);
 
 /// Nothing when there is no option. `draw` is a random number, which decides
 /// between equals.
 std::optional<server_choice> choose(std::vector<server_option> const& servers,
-                                    std::optional<std::uint64_t> prompt_key,
+                                    std::optional<shared_prompt> prompt,
                                     choice_options const& options,
                                     std::uint64_t draw);
 
--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -94,6 +94,18 @@
         send_request(c, *s);
 }
 
+void check(client& c, std::uint64_t id, endpoint const& to, duration limit)
+{
+    auto* const s = open_connection(c, to, limit);
+    if (!s)
+    {
+        report_check(c, {.id = id});
+        return;
+    }
+    s->checking = true;
+    s->request.id = id;
+}
+
 void grant(client& c, std::uint64_t id, std::uint64_t bytes)
 {
     auto* const s = find(c, id);
--- a/source/http/client.hpp
+++ b/source/http/client.hpp
@@ -72,6 +72,13 @@
     bool kept_connection = false;
 };
 
+/// What a check of a server found.
+struct server_checked
+{
+    std::uint64_t id = 0;
+    bool reachable = false;
+};
+
 using client_event = std::variant<request_sent, response_head, response_bytes,
                                   response_end, response_failed>;
 
@@ -82,6 +89,8 @@
     /// Called from `wait`, on its thread. May call `open`, `grant` and
     /// `close` of the same client.
     std::function<void(client_event)> on_event;
+    /// Gets what `check` found; may be empty where that is not used.
+    std::function<void(server_checked)> on_checked;
     net::loop_ptr loop; ///< Null: a loop of its own.
     std::size_t max_connections = 4096;
     std::size_t max_idle_per_server = 32;
@@ -101,6 +110,10 @@
 /// Starts a request; its events follow from `wait`.
 void open(client& c, client_request request);
 
+/// Finds out whether a connection to a server can be opened within `limit`;
+/// `on_checked` follows. The connection is kept for a request.
+void check(client& c, std::uint64_t id, endpoint const& to, duration limit);
+
 /// Allows `bytes` more of the answer to be read.
 void grant(client& c, std::uint64_t id, std::uint64_t bytes);
 
--- a/source/http/client_io.cpp
+++ b/source/http/client_io.cpp
@@ -103,6 +103,17 @@
         end_failed(c, s, {error_kind::server_silent, "no byte in time"});
 }
 
+/// Keeps the connection for the next request to its server.
+void keep(client& c, server_connection& s)
+{
+    s.busy = false;
+    s.kept = true;
+    s.request = {};
+    s.idle_since = net::clock_now();
+    c.idle[s.to].push_back(s.serial);
+    arm(c, s);
+}
+
 /// The answer is whole: keeps the connection for the next request if it can.
 void finish(client& c, server_connection& s)
 {
@@ -111,20 +122,14 @@
     report(c, response_end{id});
     bool const reusable = s.parser.keep_alive && s.held.empty() &&
                           !s.peer_closed && net::queued(*s.socket) == 0;
-    auto& idle = c.idle[s.to];
-    if (!reusable || idle.size() >= c.options.max_idle_per_server)
+    if (!reusable || c.idle[s.to].size() >= c.options.max_idle_per_server)
     {
         drop(c, s);
         return;
     }
-    s.busy = false;
-    s.kept = true;
-    s.request = {};
-    s.idle_since = net::clock_now();
     if (std::exchange(s.paused, false))
         net::read(*s.socket, true);
-    idle.push_back(s.serial);
-    arm(c, s);
+    keep(c, s);
 }
 
 bool on_head(client& c, server_connection& s, message_head const& head)
@@ -190,35 +195,15 @@
                 how == net::ending::reset ? "reset" : "closed early"});
 }
 
-server_connection* open_connection(client& c, client_request const& request)
+void on_opened(client& c, server_connection& s)
 {
-    if (c.connections.size() >= c.options.max_connections)
-        return nullptr;
-    auto owned = std::make_unique<server_connection>();
-    auto* const s = owned.get();
-    s->serial = ++c.last_serial;
-    s->to = request.to;
-    s->idle_limit = c.options.idle_limit;
-    start(s->parser, message_kind::response, max_answer_head_bytes);
-    s->parser.on_head = [&c, s](message_head const& head)
-    { return on_head(c, *s, head); };
-    s->parser.on_body = [&c, s](std::string_view bytes)
-    { on_body(c, *s, bytes); };
-    s->socket = net::connect(
-        *c.loop, request.to,
-        {.opened = [&c, s] { send_request(c, *s); },
-         .received = [&c, s](std::string_view bytes)
-         { on_received(c, *s, bytes); },
-         .taken = [s](std::size_t) { s->active_at = net::clock_now(); },
-         .ended = [&c, s](net::ending how) { on_ended(c, *s, how); }});
-    if (!s->socket)
-        return nullptr;
-    c.connections[s->serial] = std::move(owned);
-    s->busy = true;
-    s->active_at = net::clock_now();
-    s->request.connect_limit = request.connect_limit;
-    arm(c, *s);
-    return s;
+    if (!std::exchange(s.checking, false))
+    {
+        send_request(c, s);
+        return;
+    }
+    report_check(c, {.id = s.request.id, .reachable = true});
+    keep(c, s);
 }
 
 std::string head_text(server_connection const& s)
@@ -258,6 +243,48 @@
                });
 }
 
+void report_check(client& c, server_checked found)
+{
+    net::defer(*c.loop,
+               [&c, found, alive = c.alive]
+               {
+                   if (*alive && c.options.on_checked)
+                       c.options.on_checked(found);
+               });
+}
+
+server_connection* open_connection(client& c, endpoint const& to,
+                                   duration connect_limit)
+{
+    if (c.connections.size() >= c.options.max_connections)
+        return nullptr;
+    auto owned = std::make_unique<server_connection>();
+    auto* const s = owned.get();
+    s->serial = ++c.last_serial;
+    s->to = to;
+    s->idle_limit = c.options.idle_limit;
+    start(s->parser, message_kind::response, max_answer_head_bytes);
+    s->parser.on_head = [&c, s](message_head const& head)
+    { return on_head(c, *s, head); };
+    s->parser.on_body = [&c, s](std::string_view bytes)
+    { on_body(c, *s, bytes); };
+    s->socket = net::connect(
+        *c.loop, to,
+        {.opened = [&c, s] { on_opened(c, *s); },
+         .received = [&c, s](std::string_view bytes)
+         { on_received(c, *s, bytes); },
+         .taken = [s](std::size_t) { s->active_at = net::clock_now(); },
+         .ended = [&c, s](net::ending how) { on_ended(c, *s, how); }});
+    if (!s->socket)
+        return nullptr;
+    c.connections[s->serial] = std::move(owned);
+    s->busy = true;
+    s->active_at = net::clock_now();
+    s->request.connect_limit = connect_limit;
+    arm(c, *s);
+    return s;
+}
+
 server_connection* connection_for(client& c, client_request const& request)
 {
     auto const found = c.idle.find(request.to);
@@ -271,7 +298,7 @@
         next_message(s->parser);
         return s;
     }
-    return open_connection(c, request);
+    return open_connection(c, request.to, request.connect_limit);
 }
 
 void send_request(client& c, server_connection& s)
@@ -326,6 +353,12 @@
 
 void end_failed(client& c, server_connection& s, error cause)
 {
+    if (s.checking)
+    {
+        report_check(c, {.id = s.request.id});
+        drop(c, s);
+        return;
+    }
     report(c, response_failed{.id = s.request.id,
                               .cause = std::move(cause),
                               .sent = s.stage != stream_stage::connecting,
@@ -336,7 +369,7 @@
 
 void drop(client& c, server_connection& s)
 {
-    if (s.busy)
+    if (s.busy && !s.checking)
         c.serials.erase(s.request.id);
     else if (auto const found = c.idle.find(s.to); found != c.idle.end())
         std::erase(found->second, s.serial);
--- a/source/http/client_io.hpp
+++ b/source/http/client_io.hpp
@@ -33,6 +33,7 @@
     kernel::timer_id timer = 0;
 
     bool busy = false;
+    bool checking = false; ///< Busy without a request.
     client_request request;
     stream_stage stage = stream_stage::connecting;
     time_point active_at{}; ///< Last byte, or start.
@@ -59,10 +60,17 @@
 /// Queues an event; it is delivered at the end of the loop's turn.
 void report(client& c, client_event event);
 
+/// Reports what a check found, at the end of the loop's turn.
+void report_check(client& c, server_checked found);
+
 /// Takes the newest usable kept connection to the request's server, or opens
 /// one; null when none can be had.
 server_connection* connection_for(client& c, client_request const& request);
 
+/// Opens a connection of its own; null when none can be had.
+server_connection* open_connection(client& c, endpoint const& to,
+                                   duration connect_limit);
+
 /// Writes the request of a connection that stands.
 void send_request(client& c, server_connection& s);
 
--- a/source/router/store_assembly.cpp
+++ b/source/router/store_assembly.cpp
@@ -26,6 +26,10 @@
 /// Room of the time line on a small instance.
 constexpr std::uint32_t timeline_events = 1000;
 
+/// Many times the way to a server of the region and back; what is not
+/// connected by then goes elsewhere, since nothing was sent.
+constexpr duration connect_limit = std::chrono::milliseconds{400};
+
 log_severity severity_of(config::log_level level)
 {
     switch (level)
--- a/source/services/backend/backend_service.cpp
+++ b/source/services/backend/backend_service.cpp
@@ -80,6 +80,14 @@
                    event.kept_connection);
 }
 
+void handle_check(backend_state& state, http::server_checked const& found)
+{
+    auto const node = state.probes.extract(found.id);
+    if (node)
+        state.report(server_probed{.server = node.mapped(),
+                                   .reachable = found.reachable});
+}
+
 void handle_client_event(backend_state& state, http::client_event event)
 {
     if (handle_report_event(state, event))
@@ -157,6 +165,13 @@
     poll_reports(state, now(ctx));
 }
 
+void receive_one(backend_state& state, context&, probe_server const& message)
+{
+    auto const id = ++state.last_id;
+    state.probes[id] = message.server;
+    http::check(*state.client, id, message.address, message.limit);
+}
+
 void receive_one(backend_state& state, context&, unwatch_server const& message)
 {
     unwatch(state, message.server);
@@ -209,9 +224,15 @@
     {
         state.report = [to = state.owner](attempt_event event)
         {
-            std::visit([&to](auto&& e)
-                       { send(to, std::forward<decltype(e)>(e)); },
-                       std::move(event));
+            std::visit(
+                [&to](auto&& e)
+                {
+                    using kind = std::decay_t<decltype(e)>;
+                    // Owners read load reports instead of probing.
+                    if constexpr (!std::is_same_v<kind, server_probed>)
+                        send(to, std::forward<decltype(e)>(e));
+                },
+                std::move(event));
         };
     }
     state.metrics =
@@ -219,6 +240,8 @@
     auto client =
         http::make_client({.on_event = [&state](http::client_event event)
                            { handle_client_event(state, std::move(event)); },
+                           .on_checked = [&state](http::server_checked found)
+                           { handle_check(state, found); },
                            .loop = state.options.loop,
                            .max_connections = state.options.max_connections});
     if (client)
--- a/source/services/backend/backend_service.hpp
+++ b/source/services/backend/backend_service.hpp
@@ -61,6 +61,7 @@
     std::unordered_map<attempt_id, std::uint64_t> ids;
     std::map<server_id, watched_server> watched;
     std::unordered_map<std::uint64_t, server_id> reports; ///< By id.
+    std::unordered_map<std::uint64_t, server_id> probes;  ///< By id.
     counter_set counts;
     int ticks = 0;
 };
--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -251,6 +251,25 @@
     try_again(state, ctx, r, failed.cause);
 }
 
+/// Probes belong to no attempt; they are taken before.
+void on_event(entry_state&, entry_context&, entry_request&,
+              server_probed const&)
+{
+}
+
+attempt_id attempt_of(attempt_event const& event)
+{
+    return std::visit(
+        [](auto const& e) -> attempt_id
+        {
+            if constexpr (requires { e.attempt; })
+                return e.attempt;
+            else
+                return {};
+        },
+        event);
+}
+
 outcome outcome_of(entry_request const& r)
 {
     if (r.stage == request_stage::answering)
@@ -278,7 +297,12 @@
 void take_attempt_event(entry_state& state, entry_context& ctx,
                         attempt_event event)
 {
-    auto const id = std::visit([](auto const& e) { return e.attempt; }, event);
+    if (auto const* const probed = std::get_if<server_probed>(&event))
+    {
+        take_probe(state, ctx, *probed);
+        return;
+    }
+    auto const id = attempt_of(event);
     auto const found = state.requests.find(id.request);
     if (found == state.requests.end() || found->second.attempt != id.number ||
         found->second.server.empty())
@@ -286,6 +310,14 @@
         count(state.counted, counter::late_answers_dropped);
         return;
     }
+    bool const answers = std::holds_alternative<backend_head>(event) ||
+                         std::holds_alternative<backend_chunk>(event);
+    if (answers)
+    {
+        found->second.byte_at = now(ctx);
+        if (auto* const view = server_of(state, found->second))
+            view->heard_at = now(ctx);
+    }
     std::visit(
         [&](auto&& e)
         { on_event(state, ctx, found->second, std::forward<decltype(e)>(e)); },
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -22,6 +22,18 @@
 /// serve it in time. The request may be over afterwards.
 void send_attempt(entry_state& state, entry_context& ctx, entry_request& r);
 
+/// Looks after a current attempt that has given no byte: its server may be
+/// unreachable, or only busy.
+void check_silence(entry_state& state, entry_context& ctx, entry_request& r);
+
+/// Probes the servers of streams that have paused for long.
+void check_pauses(entry_state& state, time_point at);
+
+/// A probe's result: a server that can't be reached loses its requests, as far
+/// as they may go on elsewhere.
+void take_probe(entry_state& state, entry_context& ctx,
+                server_probed const& probed);
+
 /// Stops waiting for the current attempt and tells its server so.
 void drop_attempt(entry_state& state, entry_context& ctx, entry_request& r);
 
@@ -54,6 +66,12 @@
 /// Forgets a request. `r` is gone afterwards.
 void forget(entry_state& state, entry_context& ctx, entry_request& r);
 
+/// A multiple of the request's latency target, at least `floor`.
+duration of_target(entry_request const& r, double targets, duration floor);
+
+/// Whether a server that the request has not tried can be sent it now.
+bool has_alternative(entry_state& state, entry_request const& r, time_point at);
+
 /// Time between now and the caller's deadline, less the way back.
 duration time_left(entry_state const& state, entry_request const& r,
                    time_point at);
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -89,22 +89,7 @@
     if (!r || r->server.empty())
         return;
     r->silence_timer = 0;
-    if (!decisions::take_repeat(state.retries[r->request.service],
-                                state.options.retries, state.routers, now(ctx)))
-    {
-        count(state.counted, counter::retries_denied);
-        return;
-    }
-    if (auto* const view = server_of(state, *r))
-        note_failure(state, *view, now(ctx));
-    r->may_have_run = true;
-    log(state.counted, log_severity::info, "attempt_given_up",
-        fmt::format("request={} attempt={} server={} after_ms={}",
-                    to_text(r->request.id), r->attempt, r->server.value,
-                    to_ms(now(ctx) - r->attempt_at)));
-    drop_attempt(state, ctx, *r);
-    r->last_failure = {error_kind::server_silent, "no byte in time"};
-    send_attempt(state, ctx, *r);
+    check_silence(state, ctx, *r);
 }
 
 void handle(entry_state& state, entry_context& ctx, deployment_changed message)
@@ -183,6 +168,7 @@
     std::erase_if(state.peers, [&](auto const& entry)
                   { return now(ctx) - entry.second.at > peer_memory; });
     sum_peers(state, now(ctx));
+    check_pauses(state, now(ctx));
     own_report report;
     for (auto const& [id, view] : state.servers)
     {
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -44,6 +44,13 @@
     /// its latency target without a byte, and not before `first_byte_floor`.
     double first_byte_targets = 2.5;
     duration first_byte_floor = std::chrono::milliseconds{250};
+    /// A server from which nothing at all came since a request was sent is
+    /// probed after this part of the latency target, and not before
+    /// `dark_floor`, which is well above a server's usual work.
+    double dark_targets = 0.25;
+    duration dark_floor = std::chrono::milliseconds{120};
+    /// For a probe's connection: many times the way there and back.
+    duration probe_limit = std::chrono::milliseconds{150};
     /// A server that failed is left out for this long, twice as long after
     /// each further failure up to the last value.
     duration first_ejection = std::chrono::milliseconds{500};
@@ -71,7 +78,9 @@
     time_point next_cold{}; ///< Earliest next request while it is cold.
     time_point ejected_until{};
     std::uint32_t failures = 0; ///< In a row.
-    bool misdirected = false;   ///< Another server has its address.
+    time_point heard_at{};      ///< Last byte of any answer, or probe.
+    bool probing = false;
+    bool misdirected = false; ///< Another server has its address.
 };
 
 enum class request_stage
@@ -92,6 +101,8 @@
     server_id server;          ///< Of the current attempt.
     std::vector<server_id> tried;
     time_point attempt_at{};
+    time_point byte_at{};             ///< Last byte of the current attempt.
+    bool first_byte_due = false;      ///< The silence timer is the last one.
     std::optional<backend_head> head; ///< Not passed on yet.
     std::string held;                 ///< Body that goes with it.
     decisions::event_cursor cursor;
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -129,19 +129,6 @@
     view.next_cold = at + decisions::cold_spacing(rate, state.options.cold);
 }
 
-/// After this long without a byte the request is better sent elsewhere.
-duration first_byte_limit(entry_state const& state, entry_request const& r,
-                          duration left)
-{
-    auto const targets =
-        std::chrono::duration<double, duration::period>{
-            static_cast<double>(r.request.terms.latency_target.count())} *
-        state.options.first_byte_targets;
-    auto const limit = std::max(std::chrono::duration_cast<duration>(targets),
-                                state.options.first_byte_floor);
-    return std::min(limit, left / 2);
-}
-
 void dispatch_to(entry_state& state, entry_context& ctx, entry_request& r,
                  server_view& view, decisions::server_choice const& choice)
 {
@@ -165,7 +152,6 @@
                     to_name(choice.cause), view.own, view.peers, to_ms(left),
                     state.deployment->rules->version,
                     resume ? fmt::format(" resume_after={}", *resume) : ""));
-    bool const idempotent = r.request.kind == request_kind::idempotent;
     send(state.backend,
          dispatch{.attempt = {r.request.id, r.attempt},
                   .server = r.server,
@@ -180,13 +166,28 @@
                   .deadline = at + left + silence_beyond_deadline,
                   .may_reuse = true});
     cancel(ctx, std::exchange(r.silence_timer, 0));
-    if (idempotent && r.sent + 1 < r.request.terms.max_attempts)
-        r.silence_timer = schedule(ctx, first_byte_limit(state, r, left),
-                                   offer_due{r.request.id});
+    r.first_byte_due = false;
+    r.byte_at = at;
+    r.silence_timer = schedule(
+        ctx, of_target(r, state.options.dark_targets, state.options.dark_floor),
+        offer_due{r.request.id});
 }
 
 } // namespace
 
+duration of_target(entry_request const& r, double targets, duration floor)
+{
+    std::chrono::duration<double, duration::period> const target{
+        static_cast<double>(r.request.terms.latency_target.count())};
+    return std::max(std::chrono::duration_cast<duration>(target * targets),
+                    floor);
+}
+
+bool has_alternative(entry_state& state, entry_request const& r, time_point at)
+{
+    return !find_servers(state, r, at).views.empty();
+}
+
 duration time_left(entry_state const& state, entry_request const& r,
                    time_point at)
 {
@@ -221,7 +222,7 @@
         r.request.service = pick_service(r, *state.deployment);
     auto const eligible = find_servers(state, r, at);
     auto const choice = decisions::choose(
-        eligible.options, decisions::shared_prompt_key(r.request.terms.prompt),
+        eligible.options, decisions::shared_prompt_of(r.request.terms.prompt),
         state.options.choice, state.random());
     if (!choice)
     {
--- a/source/services/messages/backend.hpp
+++ b/source/services/messages/backend.hpp
@@ -63,6 +63,15 @@
     server_id server;
 };
 
+/// Finds out whether `server` can be connected to; replied to with
+/// `server_probed`.
+struct probe_server
+{
+    server_id server;
+    endpoint address;
+    duration limit{};
+};
+
 /// Delivered by the backend service's own timers.
 struct backend_tick
 {
@@ -70,7 +79,7 @@
 
 using backend_message =
     std::variant<dispatch, abort_attempt, backend_credit, watch_server,
-                 unwatch_server, read_report, config_changed, drain_started,
-                 status_query, backend_tick>;
+                 unwatch_server, probe_server, read_report, config_changed,
+                 drain_started, status_query, backend_tick>;
 
 } // namespace bramleyarch::services
--- a/source/services/messages/owner.hpp
+++ b/source/services/messages/owner.hpp
@@ -113,9 +113,16 @@
     bool kept_connection = false;
 };
 
-/// What happens to an attempt that was dispatched.
-using attempt_event = std::variant<backend_sent, backend_head, backend_chunk,
-                                   backend_end, backend_failed>;
+/// Whether a server could be connected to.
+struct server_probed
+{
+    server_id server;
+    bool reachable = false;
+};
+
+/// What happens to attempts that were dispatched, and what probes found.
+using attempt_event = std::variant<server_probed, backend_sent, backend_head,
+                                   backend_chunk, backend_end, backend_failed>;
 
 /// Load that a backend server stated about itself.
 struct server_report
--- a/tests/unit/services/entry/bench.hpp
+++ b/tests/unit/services/entry/bench.hpp
@@ -23,6 +23,7 @@
 {
     std::vector<dispatch> sent;
     std::vector<attempt_id> aborted;
+    std::vector<server_id> probed;
 };
 
 struct fake_backend_state
@@ -37,6 +38,8 @@
         state.seen->sent.push_back(std::move(*sent));
     if (auto* aborted = std::get_if<abort_attempt>(&message))
         state.seen->aborted.push_back(aborted->attempt);
+    if (auto* probe = std::get_if<probe_server>(&message))
+        state.seen->probed.push_back(probe->server);
 }
 
 /// Headers that name the server, the time left and the event to go on after.
@@ -89,6 +92,7 @@
                            .read_head = test_facts};
         entry = k.add(make_entry_service(std::move(options)));
         k.start();
+        k.advance(1s);
         config::routing_rules rules{.version = 3};
         rules.services[{"desk"}] = {.id = {"desk"}, .cold_rate = 10};
         known.rules =
--- a/tests/unit/services/entry/entry_test.cpp
+++ b/tests/unit/services/entry/entry_test.cpp
@@ -157,6 +157,72 @@
     BOOST_TEST(backend->sent.size() == 3U);
 }
 
+/// A cut-off domain: requests to its servers hang, and each new one there
+/// would be lost.
+BOOST_AUTO_TEST_CASE(a_server_that_went_dark_is_left_out_for_all_requests)
+{
+    submit(once, 1);
+    auto const dark = backend->sent.back().server;
+    event(backend_sent{backend->sent.back().attempt});
+    k.advance(200ms);
+    BOOST_REQUIRE(backend->probed.size() == 1U);
+    BOOST_TEST((backend->probed[0] == dark));
+    event(server_probed{.server = dark, .reachable = false});
+    BOOST_TEST(backend->aborted.empty());
+    for (int i = 0; i < 10; ++i)
+    {
+        submit(once, 1);
+        BOOST_TEST((backend->sent.back().server != dark));
+        answer(200, "ok");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_busy_server_is_not_taken_for_a_dark_one)
+{
+    known.servers.erase({"s2"});
+    publish();
+    submit(once, 1, {.streaming = true});
+    auto const streaming = backend->sent.back().attempt;
+    event(backend_sent{streaming});
+    event(backend_head{streaming, 200, {}});
+    submit(safe, 2);
+    event(backend_sent{backend->sent.back().attempt});
+    for (int i = 0; i < 8; ++i)
+    {
+        event(backend_chunk{streaming, "id: 1\n\n"});
+        k.advance(25ms);
+    }
+    BOOST_TEST(backend->probed.empty());
+    BOOST_TEST(backend->aborted.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_reads_a_long_prompt_keeps_its_requests)
+{
+    submit(safe, 2);
+    event(backend_sent{backend->sent.back().attempt});
+    k.advance(200ms);
+    BOOST_REQUIRE(backend->probed.size() == 1U);
+    event(server_probed{.server = backend->probed[0], .reachable = true});
+    BOOST_TEST(backend->aborted.empty());
+    answer(200, "ok");
+    BOOST_TEST(last().ended);
+}
+
+BOOST_AUTO_TEST_CASE(requests_of_a_server_that_went_dark_go_elsewhere_at_once)
+{
+    submit(safe, 2, {.streaming = true, .resumable = true});
+    auto const stream = backend->sent.back();
+    event(backend_sent{stream.attempt});
+    event(backend_head{stream.attempt, 200, {}});
+    event(backend_chunk{stream.attempt, "id: 1\ndata: a\n\n"});
+    k.advance(600ms);
+    BOOST_REQUIRE(!backend->probed.empty());
+    event(server_probed{.server = stream.server, .reachable = false});
+    BOOST_REQUIRE(backend->sent.size() == 2U);
+    BOOST_TEST((backend->sent.back().server != stream.server));
+    BOOST_TEST(find_header(backend->sent.back().headers, "resume") == "1");
+}
+
 BOOST_AUTO_TEST_CASE(a_silent_server_loses_a_request_that_may_run_again)
 {
     submit(safe, 2);
