Count servers of domains taken out for the mean of the load bound

Cause: while a domain is taken out the mean was taken over the other two domains, half as much again as the mean of the service.

--- a/source/decisions/server_choice.cpp
+++ b/source/decisions/server_choice.cpp
@@ -54,6 +54,7 @@
 }
 
 std::optional<server_choice> choose(std::vector<server_option> const& servers,
+                                    double mean,
                                     std::optional<shared_prompt> prompt,
                                     choice_options const& options,
                                     std::uint64_t draw)
@@ -62,11 +63,7 @@
         return std::nullopt;
     if (!prompt)
         return server_choice{.index = least_used(servers, draw)};
-    auto const total = std::accumulate(servers.begin(), servers.end(), 0.0,
-                                       [](double sum, server_option const& s)
-                                       { return sum + s.load; });
     bool const is_long = prompt->tokens >= options.long_prompt_tokens;
-    auto const mean = total / static_cast<double>(servers.size());
     auto const bound =
         is_long ? options.long_spill_factor * mean + options.long_spill_slack
                 : options.spill_factor * mean + options.spill_slack;
--- a/source/decisions/server_choice.hpp
+++ b/source/decisions/server_choice.hpp
@@ -77,9 +77,11 @@
 std::optional<shared_prompt>
 shared_prompt_of(std::vector<prompt_part> const& prompt);
 
-/// Nothing when there is no option. `draw` is a random number, which decides
-/// between equals.
+/// Nothing when there is no option. `mean` is the load of a server of the
+/// service on average, those included that can't be sent anything now. `draw`
+/// is a random number, which decides between equals.
 std::optional<server_choice> choose(std::vector<server_option> const& servers,
+                                    double mean,
                                     std::optional<shared_prompt> prompt,
                                     choice_options const& options,
                                     std::uint64_t draw);
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -26,6 +26,21 @@
     std::vector<decisions::server_option> options;
 };
 
+/// Load of a server of the service on average, of all that are listed.
+double mean_load(entry_state const& state, service_id const& service)
+{
+    double load = 0;
+    double servers = 0;
+    for (auto const& [id, view] : state.servers)
+    {
+        if (view.listed.service != service)
+            continue;
+        load += view.own + view.peers;
+        servers += 1;
+    }
+    return servers > 0 ? load / servers : 0;
+}
+
 /// The service for a request: routes that share their requests between
 /// services do so by the caller's id, so that a repeat goes the same way.
 service_id pick_service(entry_request const& r, config::deployment const& known)
@@ -221,9 +236,10 @@
     if (r.attempt == 0)
         r.request.service = pick_service(r, *state.deployment);
     auto const eligible = find_servers(state, r, at);
-    auto const choice = decisions::choose(
-        eligible.options, decisions::shared_prompt_of(r.request.terms.prompt),
-        state.options.choice, state.random());
+    auto const choice =
+        decisions::choose(eligible.options, mean_load(state, r.request.service),
+                          decisions::shared_prompt_of(r.request.terms.prompt),
+                          state.options.choice, state.random());
     if (!choice)
     {
         auto cause =
--- a/tests/unit/decisions/server_choice_test.cpp
+++ b/tests/unit/decisions/server_choice_test.cpp
@@ -54,7 +54,8 @@
     auto const all = servers(18);
     std::set<std::size_t> met;
     for (std::uint64_t draw = 0; draw < 100; ++draw)
-        met.insert(choose(all, shared_prompt{77}, {}, draw)->index);
+        met.insert(
+            choose(all, mean_of(all), shared_prompt{77}, {}, draw)->index);
     BOOST_TEST(met.size() == 1U);
 }
 
@@ -66,9 +67,12 @@
     for (std::uint64_t prompt = 1; prompt < 500; ++prompt)
     {
         auto const before =
-            all[choose(all, shared_prompt{prompt}, {}, 0)->index].hash;
+            all[choose(all, mean_of(all), shared_prompt{prompt}, {}, 0)->index]
+                .hash;
         auto const after =
-            fewer[choose(fewer, shared_prompt{prompt}, {}, 0)->index].hash;
+            fewer[choose(fewer, mean_of(fewer), shared_prompt{prompt}, {}, 0)
+                      ->index]
+                .hash;
         if (before != all[4].hash)
             BOOST_TEST(before == after);
     }
@@ -87,11 +91,11 @@
     {
         bool const hot = random() % 4 == 0;
         auto const prompt = hot ? 1 : 2 + random() % 160;
-        auto const choice = choose(
-            all, shared_prompt{prompt, hot ? 9000U : 700U}, {}, random());
+        auto const choice =
+            choose(all, mean_of(all), shared_prompt{prompt, hot ? 9000U : 700U},
+                   {}, random());
         // What the server holds as the request reaches it.
-        worst =
-            std::max(worst, all[choice->index].load - 2 * mean_of(all) - 3);
+        worst = std::max(worst, all[choice->index].load - 2 * mean_of(all) - 3);
         all[choice->index].load += 1;
         running.push_back(choice->index);
         if (hot)
@@ -114,9 +118,9 @@
     auto all = servers(3);
     for (auto& server : all)
         server.slots = 6;
-    BOOST_TEST(choose(all, std::nullopt, {}, 0)->index == 0U);
+    BOOST_TEST(choose(all, mean_of(all), std::nullopt, {}, 0)->index == 0U);
     all[0].load = 5;
-    BOOST_TEST(choose(all, std::nullopt, {}, 0)->index != 0U);
+    BOOST_TEST(choose(all, mean_of(all), std::nullopt, {}, 0)->index != 0U);
 }
 
 BOOST_AUTO_TEST_CASE(equal_servers_share_requests_evenly)
@@ -126,7 +130,8 @@
         server.own_domain = true;
     std::map<std::size_t, int> counts;
     for (std::uint64_t draw = 0; draw < 4000; ++draw)
-        ++counts[choose(all, std::nullopt, {}, mix(draw, 3))->index];
+        ++counts[choose(all, mean_of(all), std::nullopt, {}, mix(draw, 3))
+                     ->index];
     for (auto const& [index, count] : counts)
         BOOST_TEST((count > 800 && count < 1200),
                    "server " << index << " got " << count);
@@ -135,15 +140,17 @@
 BOOST_AUTO_TEST_CASE(a_full_server_is_not_chosen_while_others_have_room)
 {
     auto all = servers(2);
-    auto const first = choose(all, shared_prompt{5}, {}, 0)->index;
+    auto const first =
+        choose(all, mean_of(all), shared_prompt{5}, {}, 0)->index;
     all[first].load = all[first].slots;
-    BOOST_TEST(choose(all, shared_prompt{5}, {.spill_factor = 100}, 0)->index !=
-               first);
+    BOOST_TEST(
+        choose(all, mean_of(all), shared_prompt{5}, {.spill_factor = 100}, 0)
+            ->index != first);
 }
 
 BOOST_AUTO_TEST_CASE(no_server_gives_no_choice)
 {
-    BOOST_TEST(!choose({}, shared_prompt{5}, {}, 0).has_value());
+    BOOST_TEST(!choose({}, 0, shared_prompt{5}, {}, 0).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
