--- a/source/router/store_assembly.cpp
+++ b/source/router/store_assembly.cpp
@@ -95,6 +95,7 @@
     k.add(make_backend_service(
         {.loop = options.loop,
          .max_connections = settings.limits.max_connections,
+         .connect_limit = connect_limit,
          .on_event = events_to_entry(k)}));
     k.add(make_entry_service(entry_of(options)));
     k.add(make_peers_service({.loop = options.loop,
--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -109,7 +109,7 @@
     if (view && standing == answer_standing::misdirected)
         view->misdirected = true;
     if (view && standing == answer_standing::foreign)
-        note_failure(state, *view, now(ctx));
+        note_failure(state, *view, now(ctx), "foreign_answer");
     if (standing == answer_standing::foreign)
         r.may_have_run = true;
     // What did not run took no place of another attempt.
@@ -226,7 +226,7 @@
     // A kept connection that the server had closed says nothing of the server.
     if (view && !failed.kept_connection)
     {
-        note_failure(state, *view, at);
+        note_failure(state, *view, at, to_name(failed.cause.kind));
         if (failed.sent && failed.cause.kind == error_kind::server_closed)
             suspect_request(state, r, *view, at);
     }
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -12,8 +12,10 @@
 /// Server of a request's current attempt; null when it is not listed any more.
 server_view* server_of(entry_state& state, entry_request const& r);
 
-/// The server failed an attempt: leaves it out for a while.
-void note_failure(entry_state& state, server_view& server, time_point at);
+/// The server failed an attempt: leaves it out for a while. What fails while it
+/// is left out belongs to the same failure.
+void note_failure(entry_state& state, server_view& server, time_point at,
+                  std::string_view reason);
 
 /// The server answered.
 void note_answer(server_view& server);
@@ -26,6 +28,9 @@
 /// unreachable, or only busy.
 void check_silence(entry_state& state, entry_context& ctx, entry_request& r);
 
+/// Probes the servers that are left out, so that no request has to.
+void probe_left_out(entry_state& state, time_point at);
+
 /// Probes the servers of streams that have paused for long.
 void check_pauses(entry_state& state, time_point at);
 
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -169,6 +169,7 @@
                   { return now(ctx) - entry.second.at > peer_memory; });
     sum_peers(state, now(ctx));
     check_pauses(state, now(ctx));
+    probe_left_out(state, now(ctx));
     own_report report;
     for (auto const& [id, view] : state.servers)
     {
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -51,10 +51,11 @@
     duration dark_floor = std::chrono::milliseconds{120};
     /// For a probe's connection: many times the way there and back.
     duration probe_limit = std::chrono::milliseconds{150};
-    /// A server that failed is left out for this long, twice as long after
-    /// each further failure up to the last value.
-    duration first_ejection = std::chrono::milliseconds{500};
-    duration last_ejection = std::chrono::seconds{8};
+    /// A server that failed is left out until a probe reaches it. The first
+    /// probe goes out after this long, each further one after twice as long up
+    /// to the last value.
+    duration first_ejection = std::chrono::milliseconds{400};
+    duration last_ejection = std::chrono::seconds{2};
     /// Smallest Retry-After; callers spread themselves beyond it.
     duration retry_after = std::chrono::milliseconds{250};
     /// Retry-After of a request that takes servers down.
@@ -75,8 +76,9 @@
     std::optional<stated_load> stated;
     time_point stated_at{};
     time_point cold_until{};
-    time_point next_cold{}; ///< Earliest next request while it is cold.
-    time_point ejected_until{};
+    time_point next_cold{};     ///< Earliest next request while it is cold.
+    bool left_out = false;      ///< It failed and was not reached since.
+    time_point probe_at{};      ///< While it is left out.
     std::uint32_t failures = 0; ///< In a row.
     time_point heard_at{};      ///< Last byte of any answer, or probe.
     bool probing = false;
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -122,7 +122,7 @@
             if (cold_place(state, view, at))
                 add_option(state, cold, view);
         }
-        else if (view.ejected_until > at)
+        else if (view.left_out)
             add_option(state, left_out, view);
         else
             add_option(state, good, view);
--- a/source/services/entry/servers.cpp
+++ b/source/services/entry/servers.cpp
@@ -16,7 +16,7 @@
 void start_anew(server_view& view)
 {
     view.stated.reset();
-    view.ejected_until = {};
+    view.left_out = false;
     view.failures = 0;
     view.next_cold = {};
 }
@@ -56,21 +56,28 @@
     return found == state.servers.end() ? nullptr : &found->second;
 }
 
-void note_failure(entry_state& state, server_view& server, time_point at)
+void note_failure(entry_state& state, server_view& server, time_point at,
+                  std::string_view reason)
 {
+    if (server.left_out && at < server.probe_at)
+        return;
     auto const doublings = std::min(server.failures++, 8U);
     auto const span = std::min(state.options.first_ejection * (1U << doublings),
                                state.options.last_ejection);
-    server.ejected_until = at + span;
+    server.left_out = true;
+    server.probe_at = at + span;
     log(state.counted, log_severity::warning, "server_left_out",
-        fmt::format("server={} failures={} for_ms={}", server.listed.id.value,
-                    server.failures, to_ms(span)));
+        fmt::format("server={} domain={} reason={} failures={} probe_in_ms={} "
+                    "own={} heard_ms_ago={}",
+                    server.listed.id.value, server.listed.domain.value, reason,
+                    server.failures, to_ms(span), server.own,
+                    to_ms(at - server.heard_at)));
 }
 
 void note_answer(server_view& server)
 {
     server.failures = 0;
-    server.ejected_until = {};
+    server.left_out = false;
 }
 
 std::uint64_t fingerprint_of(routed_request const& request)
--- a/source/services/entry/silence.cpp
+++ b/source/services/entry/silence.cpp
@@ -84,6 +84,15 @@
                                offer_due{r.request.id});
 }
 
+void probe_left_out(entry_state& state, time_point at)
+{
+    for (auto& [id, view] : state.servers)
+    {
+        if (view.left_out && at >= view.probe_at)
+            probe(state, view);
+    }
+}
+
 void check_pauses(entry_state& state, time_point at)
 {
     for (auto const& [id, r] : state.requests)
@@ -114,9 +123,10 @@
     if (probed.reachable)
     {
         view.heard_at = at;
+        view.left_out = false;
         return;
     }
-    note_failure(state, view, at);
+    note_failure(state, view, at, "unreachable");
     std::vector<request_id> waiting;
     for (auto const& [id, r] : state.requests)
     {
