--- a/source/router/store_assembly.cpp
+++ b/source/router/store_assembly.cpp
@@ -30,20 +30,6 @@
 /// connected by then goes elsewhere, since nothing was sent.
 constexpr duration connect_limit = std::chrono::milliseconds{400};
 
-log_severity severity_of(config::log_level level)
-{
-    switch (level)
-    {
-    case config::log_level::error:
-        return log_severity::error;
-    case config::log_level::warning:
-        return log_severity::warning;
-    case config::log_level::info:
-        break;
-    }
-    return log_severity::info;
-}
-
 /// Changes with the file's time and size; empty when it can't be read.
 std::string file_stamp(std::string const& file)
 {
@@ -86,7 +72,7 @@
 {
     auto const& settings = options.settings;
     k.add(make_log_service(
-        {.router = settings.router.id, .least = severity_of(settings.level)}));
+        {.router = settings.router.id, .least = settings.level}));
     k.add(make_metrics_service(
         {.router = settings.router.id, .domain = settings.router.domain}));
     k.add(make_timeline_service({.router = settings.router.id,
--- a/source/services/admin/pages.cpp
+++ b/source/services/admin/pages.cpp
@@ -110,8 +110,7 @@
         show_text(state, exchange, 503, "draining\n");
     else if (state.config == 0)
         show_text(state, exchange, 503, "no configuration\n");
-    else if (state.serves_deployment ||
-             state.standing == member_state::live)
+    else if (state.serves_deployment || state.standing == member_state::live)
         show_text(state, exchange, 200, "ready\n");
     else if (!state.standing || *state.standing == member_state::joining)
         show_text(state, exchange, 503, "joining: peers not heard yet\n");
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -179,7 +179,9 @@
                   .credit = initial_credit_bytes,
                   .silence_limit = left + silence_beyond_deadline,
                   .deadline = at + left + silence_beyond_deadline,
-                  .may_reuse = true});
+                  // What lost the first attempt may have closed the kept
+                  // connections too.
+                  .may_reuse = r.attempt == 1});
     cancel(ctx, std::exchange(r.silence_timer, 0));
     r.first_byte_due = false;
     r.byte_at = at;
--- a/source/services/front/matching.cpp
+++ b/source/services/front/matching.cpp
@@ -282,7 +282,12 @@
         if (!step)
             return boost::outcome_v2::failure(step.error());
     }
-    routed.body_fingerprint = fingerprint(*incoming.body);
+    // Requests without a body are told apart by their target: otherwise one of
+    // them that is suspected would have all of them refused.
+    routed.body_fingerprint =
+        incoming.body->empty()
+            ? fingerprint(incoming.method + ' ' + incoming.target)
+            : fingerprint(*incoming.body);
     routed.headers = pass_on(routed, std::move(incoming.headers));
     routed.body = std::move(incoming.body);
     return routed;
--- a/source/services/messages/log.hpp
+++ b/source/services/messages/log.hpp
@@ -1,8 +1,7 @@
 /// Messages of the log service.
 #pragma once
 
-#include "common/enum_names.hpp"
-#include "services/messages/shared.hpp"
+#include "config/settings.hpp"
 
 #include <string>
 #include <variant>
@@ -10,21 +9,7 @@
 namespace bramleyarch::services
 {
 
-enum class log_severity : std::uint8_t
-{
-    error,
-    warning,
-    info,
-};
-
-constexpr auto enum_names(log_severity)
-{
-    return std::array{
-        enum_name<log_severity>{log_severity::error, "error"},
-        enum_name<log_severity>{log_severity::warning, "warning"},
-        enum_name<log_severity>{log_severity::info, "info"},
-    };
-}
+using log_severity = config::log_level;
 
 /// One line: `event` and then `fields` as "name=value" pairs.
 struct log_line
--- a/source/testing/backend_standin.cpp
+++ b/source/testing/backend_standin.cpp
@@ -46,7 +46,14 @@
     {
         end_run(*server_->log, record_,
                 alive() ? run_state::cancelled : run_state::crashed);
-        if (!alive())
+        leave();
+    }
+
+    /// Gives the place to the next request. The work is over when its answer
+    /// leaves: a router that has the answer may send the next one at once.
+    void leave()
+    {
+        if (!alive() || std::exchange(left_, true))
             return;
         --(running_ ? server_->model.running : server_->model.waiting);
         admit_next();
@@ -94,6 +101,7 @@
     std::size_t record_;
     std::uint64_t incarnation_;
     bool running_ = false;
+    bool left_ = false;
 };
 
 /// Waits for a place in the batch; false when it was not got.
@@ -225,6 +233,7 @@
     }
     http_response response =
         json_response(200, load::expect_plain_body(c->request.body()));
+    run.leave();
     co_return co_await send_response(c, std::move(response));
 }
 
--- a/tests/unit/services/entry/entry_test.cpp
+++ b/tests/unit/services/entry/entry_test.cpp
@@ -386,6 +386,15 @@
     BOOST_TEST(used.contains(server));
 }
 
+BOOST_AUTO_TEST_CASE(a_repeat_opens_a_connection_of_its_own)
+{
+    submit(safe, 2);
+    BOOST_TEST(backend->sent.back().may_reuse);
+    fail(true);
+    BOOST_REQUIRE(backend->sent.size() == 2U);
+    BOOST_TEST(!backend->sent.back().may_reuse);
+}
+
 BOOST_AUTO_TEST_CASE(repeats_stop_when_the_share_of_the_budget_is_used)
 {
     for (int i = 0; i < 200; ++i)
--- a/tests/unit/services/front/matching_test.cpp
+++ b/tests/unit/services/front/matching_test.cpp
@@ -94,6 +94,22 @@
 
 BOOST_AUTO_TEST_SUITE(matching)
 
+BOOST_AUTO_TEST_CASE(requests_without_a_body_are_told_apart)
+{
+    auto one = chat();
+    one.target = "/booking/schedules/1";
+    one.method = "GET";
+    one.body = std::make_shared<std::string const>();
+    auto two = one;
+    two.target = "/booking/schedules/2";
+    auto const first = match(one);
+    auto const second = match(two);
+    BOOST_REQUIRE(first.has_value());
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(first.value().body_fingerprint !=
+               second.value().body_fingerprint);
+}
+
 BOOST_AUTO_TEST_CASE(chat_request_is_matched_by_its_model)
 {
     auto const routed = match(chat()).value();
