Drop servers that left while this router alone was cut off

Cause, from the router's lines: the instance was cut off until 13 s and listed the records at 14.38 s; the server's entry was gone, and the router kept it for the 2.3 s that entries have which lapsed while the store was away. The store had been there for all others. Ruled out: a slow watch - the list came within 20 ms of the return. Now only a removal of more than half of a service's servers at once counts as a lapse. Test: discoveries/a_server_that_left_while_this_router_was_cut_off_is_gone.

--- a/source/decisions/discovery.cpp
+++ b/source/decisions/discovery.cpp
@@ -1,5 +1,6 @@
 #include "decisions/discovery.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <set>
 #include <utility>
@@ -15,7 +16,8 @@
 /// Whether entries that go now may belong to servers that live.
 bool in_doubt(discovery const& d, time_point at)
 {
-    return d.away || (d.returned && at < *d.returned + d.options.return_grace);
+    return d.away || (d.lapsed && d.returned &&
+                      at < *d.returned + d.options.return_grace);
 }
 
 void drop_server(discovery& d, server_id const& id)
@@ -143,10 +145,35 @@
     if (!std::exchange(d.away, false))
         return;
     d.returned = at;
+    d.lapsed = false;
     for (auto& [id, due] : d.doubtful)
         due = at + d.options.return_grace;
 }
 
+void note_removals(discovery& d, std::vector<record_change> const& changes)
+{
+    std::map<service_id, std::size_t> going;
+    for (auto const& change : changes)
+    {
+        auto const* const entry = std::get_if<server_entry>(&change.content);
+        if (!change.removed || !entry)
+            continue;
+        auto const known = d.known.servers.find(entry->server.id);
+        if (known != d.known.servers.end())
+            ++going[known->second.service];
+    }
+    for (auto const& [service, count] : going)
+    {
+        auto const all =
+            std::count_if(d.known.servers.begin(), d.known.servers.end(),
+                          [&id = service](auto const& entry)
+                          { return entry.second.service == id; });
+        if (static_cast<double>(count) >
+            d.options.lapse_part * static_cast<double>(all))
+            d.lapsed = true;
+    }
+}
+
 discovery_effect apply(discovery& d, record_change const& change, time_point at)
 {
     auto& applied = d.applied[change.key];
--- a/source/decisions/discovery.hpp
+++ b/source/decisions/discovery.hpp
@@ -66,6 +66,10 @@
     /// Servers whose entries lapsed while the store was away are listed again
     /// within about two seconds of its return; the rest covers late timers.
     duration return_grace = std::chrono::milliseconds{2300};
+    /// Part of a service's servers that must go at once to be taken for a
+    /// lapse. A store that was away lets nearly all lapse; fewer have left
+    /// while this router alone could not reach the store.
+    double lapse_part = 0.5;
 };
 
 struct discovery
@@ -79,6 +83,7 @@
     std::map<server_id, time_point> doubtful;
     bool away = false;
     std::optional<time_point> returned;
+    bool lapsed = false; ///< Entries lapsed while the store was away.
 };
 
 /// What an applied change touched.
@@ -95,6 +100,10 @@
 /// The store answers again.
 void note_back(discovery& d, time_point at);
 
+/// Looks at changes that arrived together, before each is applied: whether
+/// their removals are a lapse.
+void note_removals(discovery& d, std::vector<record_change> const& changes);
+
 /// Applies a change; older ones than what is known of its key have no effect.
 discovery_effect apply(discovery& d, record_change const& change,
                        time_point at);
--- a/source/services/store/store_service.cpp
+++ b/source/services/store/store_service.cpp
@@ -84,6 +84,7 @@
 void publish(store_state& state,
              std::vector<decisions::record_change> const& changes)
 {
+    decisions::note_removals(state.found, changes);
     decisions::discovery_effect all;
     for (auto const& change : changes)
     {
--- a/tests/unit/decisions/discovery_test.cpp
+++ b/tests/unit/decisions/discovery_test.cpp
@@ -108,6 +108,7 @@
         apply(d, server(1, id), begin);
     note_away(d);
     note_back(d, begin + 10s);
+    note_removals(d, {server_gone(5, "s1"), server_gone(6, "s2")});
     apply(d, server_gone(5, "s1"), begin + 10s);
     apply(d, server_gone(6, "s2"), begin + 10s);
     BOOST_TEST(knows("s1"));
@@ -119,6 +120,20 @@
     BOOST_TEST(!knows("s2"));
 }
 
+/// This router alone could not reach the store, which served all others: a
+/// server that left meanwhile gets nothing more.
+BOOST_AUTO_TEST_CASE(a_server_that_left_while_this_router_was_cut_off_is_gone)
+{
+    for (auto const* id : {"s1", "s2", "s3", "s4"})
+        apply(d, server(1, id), begin);
+    note_away(d);
+    note_back(d, begin + 10s);
+    note_removals(d, {server_gone(5, "s1")});
+    BOOST_TEST(apply(d, server_gone(5, "s1"), begin + 10s).deployment);
+    BOOST_TEST(!knows("s1"));
+    BOOST_TEST(knows("s2"));
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_dropped_while_the_store_is_away)
 {
     apply(d, server(1, "s1"), begin);
@@ -132,6 +147,7 @@
     apply(d, server(1, "s1"), begin);
     note_away(d);
     note_back(d, begin + 1s);
+    note_removals(d, {server_gone(2, "s1")});
     apply(d, server_gone(2, "s1"), begin + 1s);
     note_away(d);
     expire(d, begin + 100s);
--- a/tests/unit/platform/standins.cpp
+++ b/tests/unit/platform/standins.cpp
@@ -157,7 +157,7 @@
         std::lock_guard const lock{server.mutex};
         server.ran.push_back(id);
     }
-    if (server.fault != server_fault::unsigned_)
+    if (server.fault != server_fault::no_signature)
         reply.set(std::string{signature_header}, "sig");
     ++server.running;
     asio::steady_timer timer{io};
--- a/tests/unit/platform/standins.hpp
+++ b/tests/unit/platform/standins.hpp
@@ -58,11 +58,11 @@
 enum class server_fault
 {
     none,
-    sheds,     ///< Says that it did not run the request.
-    resets,    ///< Closes the connection after reading the request.
-    cut,       ///< Closes in the middle of the answer.
-    unsigned_, ///< Answers without its signature.
-    silent,    ///< Answers nothing.
+    sheds,        ///< Says that it did not run the request.
+    resets,       ///< Closes the connection after reading the request.
+    cut,          ///< Closes in the middle of the answer.
+    no_signature, ///< Answers without its signature.
+    silent,       ///< Answers nothing.
 };
 
 /// A server: answers with its id and what it got.
--- a/tests/unit/platform/whole_path_test.cpp
+++ b/tests/unit/platform/whole_path_test.cpp
@@ -302,7 +302,7 @@
 {
     start_ready();
     for (auto const fault :
-         {server_fault::resets, server_fault::cut, server_fault::unsigned_})
+         {server_fault::resets, server_fault::cut, server_fault::no_signature})
     {
         s1.fault = fault;
         s2.fault = fault;
@@ -317,7 +317,7 @@
 {
     start_ready();
     for (auto const fault :
-         {server_fault::resets, server_fault::cut, server_fault::unsigned_,
+         {server_fault::resets, server_fault::cut, server_fault::no_signature,
           server_fault::sheds, server_fault::silent})
     {
         s1.fault = fault;
