--- a/source/decisions/server_choice.cpp
+++ b/source/decisions/server_choice.cpp
@@ -17,7 +17,7 @@
 
 double use_of(server_option const& server)
 {
-    return (server.load + 1) * server.slowness / std::max(server.slots, 1U);
+    return (server.load + 1) / std::max(server.slots, 1U);
 }
 
 std::size_t least_used(std::vector<server_option> const& servers,
@@ -78,8 +78,7 @@
     for (auto const index : order)
     {
         auto const& server = servers[index];
-        if (server.load * server.slowness > bound ||
-            server.load >= server.slots)
+        if (server.load > bound || server.load >= server.slots)
             continue;
         return server_choice{.index = index,
                              .cause = index == order.front()
--- a/source/decisions/server_choice.hpp
+++ b/source/decisions/server_choice.hpp
@@ -23,8 +23,6 @@
     double load = 0;         ///< Requests there, of all routers.
     std::uint32_t slots = 1; ///< Requests that it works on at once.
     bool own_domain = false;
-    /// Its recent answers say that it is slower than its like: 1 is as fast.
-    double slowness = 1;
 };
 
 enum class choice_cause
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -105,8 +105,8 @@
          .own_domain = view.listed.domain == state.options.domain});
 }
 
-/// Warm servers in good standing; without any, those left out for failures;
-/// without those, cold ones as far as they bear it.
+/// Warm servers in good standing; without any, cold ones as far as they bear
+/// it; without those, servers left out for failures.
 eligible_servers find_servers(entry_state& state, entry_request const& r,
                               time_point at)
 {
