--- a/source/wire/heartbeats.cpp
+++ b/source/wire/heartbeats.cpp
@@ -1,8 +1,7 @@
 #include "wire/heartbeats.hpp"
 
-#include "wire/archive.hpp"
+#include "wire/datagram.hpp"
 
-#include <exception>
 #include <utility>
 
 namespace bramleyarch::wire
@@ -133,35 +132,13 @@
 
 std::string encode_heartbeat(decisions::heartbeat const& h)
 {
-    std::string out{heartbeat_mark};
-    string_sink sink{out};
-    std::ostream stream{&sink};
-    cereal::PortableBinaryOutputArchive archive{stream};
-    archive(h);
-    return out;
+    return encode_datagram(heartbeat_mark, h);
 }
 
 result<decisions::heartbeat> decode_heartbeat(std::string_view datagram)
 {
-    if (datagram.size() > max_heartbeat_bytes ||
-        !datagram.starts_with(heartbeat_mark))
-        return fail(error_kind::link_protocol, "not a heartbeat");
-    memory_source source{datagram.substr(heartbeat_mark.size())};
-    std::istream stream{&source};
-    try
-    {
-        cereal::PortableBinaryInputArchive archive{stream};
-        decisions::heartbeat decoded;
-        archive(decoded);
-        if (source.remaining() != 0)
-            return fail(error_kind::link_protocol, "bytes after a heartbeat");
-        return decoded;
-    }
-    catch (std::exception const& e)
-    {
-        return fail(error_kind::link_protocol,
-                    std::string{"heartbeat: "} + e.what());
-    }
+    return decode_datagram<decisions::heartbeat>(heartbeat_mark,
+                                                 max_heartbeat_bytes, datagram);
 }
 
 } // namespace bramleyarch::wire
--- a/source/wire/peer_beats.cpp
+++ b/source/wire/peer_beats.cpp
@@ -1,8 +1,6 @@
 #include "wire/peer_beats.hpp"
 
-#include "wire/archive.hpp"
-
-#include <exception>
+#include "wire/datagram.hpp"
 
 namespace bramleyarch::decisions
 {
@@ -42,33 +40,13 @@
 
 std::string encode_beat(decisions::peer_beat const& beat)
 {
-    std::string out{beat_mark};
-    string_sink sink{out};
-    std::ostream stream{&sink};
-    cereal::PortableBinaryOutputArchive archive{stream};
-    archive(beat);
-    return out;
+    return encode_datagram(beat_mark, beat);
 }
 
 result<decisions::peer_beat> decode_beat(std::string_view datagram)
 {
-    if (datagram.size() > max_beat_bytes || !datagram.starts_with(beat_mark))
-        return fail(error_kind::link_protocol, "not a beat");
-    memory_source source{datagram.substr(beat_mark.size())};
-    std::istream stream{&source};
-    try
-    {
-        cereal::PortableBinaryInputArchive archive{stream};
-        decisions::peer_beat decoded;
-        archive(decoded);
-        if (source.remaining() != 0)
-            return fail(error_kind::link_protocol, "bytes after a beat");
-        return decoded;
-    }
-    catch (std::exception const& e)
-    {
-        return fail(error_kind::link_protocol, e.what());
-    }
+    return decode_datagram<decisions::peer_beat>(beat_mark, max_beat_bytes,
+                                                 datagram);
 }
 
 } // namespace bramleyarch::wire
--- a/tests/unit/platform/whole_path_test.cpp
+++ b/tests/unit/platform/whole_path_test.cpp
@@ -254,9 +254,12 @@
     revision version = 10;
     for (auto const fault : {store_fault::busy, store_fault::silent})
     {
+        // The watch that waits returns with this; the calls after it fail.
         outside.store.fault = fault;
-        auto const end = std::chrono::steady_clock::now() + 600ms;
-        run_until([&] { return std::chrono::steady_clock::now() > end; });
+        auto const calls = calls_of(outside.store, "/kv-watch");
+        put(outside.store, "elsewhere/x", "y");
+        run_until([&]
+                  { return calls_of(outside.store, "/kv-watch") > calls + 1; });
         BOOST_TEST(has_status(answer_to(request("/book/1", "id")), "200"));
         outside.store.fault = store_fault::none;
         put(outside.store, rules_key, rules(++version, look_route));
--- /dev/null
+++ b/tests/unit/wire/peer_beats_test.cpp
@@ -0,0 +1,65 @@
+/// Tests of the beats that routers tell each other.
+#include "wire/peer_beats.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace bramleyarch;
+using namespace bramleyarch::wire;
+
+namespace
+{
+
+decisions::peer_beat const sample{.from = {"r1"},
+                                  .started = 7,
+                                  .sequence = 9,
+                                  .loads = {{11, 3}, {12, 4}},
+                                  .suspects = {{21, 22}}};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(peer_beats)
+
+BOOST_AUTO_TEST_CASE(a_beat_reads_as_it_was_written)
+{
+    auto const read = decode_beat(encode_beat(sample));
+    BOOST_REQUIRE(read.has_value());
+    auto const& beat = read.value();
+    BOOST_TEST(beat.from.value == "r1");
+    BOOST_TEST(beat.started == 7U);
+    BOOST_TEST(beat.sequence == 9U);
+    BOOST_REQUIRE(beat.loads.size() == 2U);
+    BOOST_TEST(beat.loads[1].server == 12U);
+    BOOST_TEST(beat.loads[1].in_flight == 4U);
+    BOOST_REQUIRE(beat.suspects.size() == 1U);
+    BOOST_TEST(beat.suspects[0].fingerprint == 21U);
+    BOOST_TEST(beat.suspects[0].server == 22U);
+}
+
+BOOST_AUTO_TEST_CASE(cut_and_lengthened_beats_are_refused)
+{
+    auto const whole = encode_beat(sample);
+    for (std::size_t size = 0; size < whole.size(); ++size)
+        BOOST_TEST(!decode_beat(whole.substr(0, size)).has_value(), size);
+    BOOST_TEST(!decode_beat(whole + "x").has_value());
+    BOOST_TEST(!decode_beat(std::string(20'000, 'x')).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(mutated_beats_do_no_harm)
+{
+    constexpr std::uint64_t seed = 20261204;
+    std::mt19937_64 random{seed};
+    auto const whole = encode_beat(sample);
+    std::size_t refused = 0;
+    for (int i = 0; i < 20'000; ++i)
+    {
+        auto text = whole;
+        for (auto changes = 1 + random() % 4; changes > 0; --changes)
+            text[random() % text.size()] = static_cast<char>(random());
+        refused += decode_beat(text).has_value() ? 0 : 1;
+    }
+    BOOST_TEST(refused > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
