Keep a server's own failure; bound callers' text in the log

Found by reading the change again. A genuine failure of a request that may run again was given up for a second server also where there was none, so that the caller got our 502 for the server's 500 (entry/without_another_server_a_failure_is_the_callers_answer).

--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -87,12 +87,12 @@
 
 /// An answer that another server may better: a failure of a request that may
 /// run again.
-bool is_worth_another(entry_state const& state, entry_request const& r,
-                      time_point at)
+bool is_worth_another(entry_state& state, entry_request const& r, time_point at)
 {
     return r.request.kind == request_kind::idempotent &&
            r.sent < r.request.terms.max_attempts &&
-           time_left(state, r, at) > state.options.deadline_margin;
+           time_left(state, r, at) > state.options.deadline_margin &&
+           has_alternative(state, r, at);
 }
 
 void on_event(entry_state& state, entry_context&, entry_request& r,
@@ -330,13 +330,13 @@
     auto const known = outcome_of(r);
     count(state.counted, counter_of(known));
     log(state.counted, log_severity::info, "request_ended",
-        fmt::format("request={} caller_id={} route={} reason={} detail=\"{}\" "
-                    "outcome={} attempts={} took_ms={} retry_after_ms={}",
-                    to_text(r.request.id), r.request.terms.caller_id,
-                    r.request.terms.route, to_name(cause.kind), cause.detail,
-                    to_name(known), r.sent,
-                    to_ms(now(ctx) - r.request.terms.received),
-                    to_ms(retry_after)));
+        fmt::format(
+            "request={} caller_id={} route={} reason={} detail=\"{}\" "
+            "outcome={} attempts={} took_ms={} retry_after_ms={}",
+            to_text(r.request.id), field_text(r.request.terms.caller_id),
+            r.request.terms.route, to_name(cause.kind), cause.detail,
+            to_name(known), r.sent, to_ms(now(ctx) - r.request.terms.received),
+            to_ms(retry_after)));
     r.reply(answer_error{.attempt = answer_id(r),
                          .cause = std::move(cause),
                          .known = known,
--- a/source/services/log/log_service.cpp
+++ b/source/services/log/log_service.cpp
@@ -2,6 +2,7 @@
 
 #include "services/messages/names.hpp"
 
+#include <algorithm>
 #include <cerrno>
 #include <fcntl.h>
 #include <fmt/format.h>
@@ -47,6 +48,7 @@
         ++state.dropped;
         return;
     }
+    auto const begin = state.waiting.size();
     auto const at = wall_now(ctx).time_since_epoch();
     fmt::format_to(std::back_inserter(state.waiting),
                    "time_ms={} router={} severity={} event={}", to_ms(at),
@@ -57,6 +59,11 @@
                        std::exchange(state.dropped, 0));
     if (!line.fields.empty())
         state.waiting.append(" ").append(line.fields);
+    // What others wrote, such as a key of the store, begins no line of its own.
+    std::replace_if(
+        state.waiting.begin() + static_cast<std::ptrdiff_t>(begin),
+        state.waiting.end(),
+        [](unsigned char c) { return c < ' ' || c == 0x7f; }, '?');
     state.waiting.push_back('\n');
     if (std::exchange(state.flush_due, true))
         return;
--- a/source/services/telemetry/telemetry.cpp
+++ b/source/services/telemetry/telemetry.cpp
@@ -36,6 +36,20 @@
     t.samples.push_back({.kind = kind, .samples = {value}});
 }
 
+std::string field_text(std::string_view text)
+{
+    constexpr std::size_t most = 64;
+    std::string shown{text.substr(0, most)};
+    for (auto& c : shown)
+    {
+        bool const plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                           (c >= '0' && c <= '9') || c == '-' || c == '_' ||
+                           c == '.';
+        c = plain ? c : '?';
+    }
+    return shown.empty() ? "-" : shown;
+}
+
 void log(telemetry& t, log_severity severity, std::string event,
          std::string fields)
 {
--- a/source/services/telemetry/telemetry.hpp
+++ b/source/services/telemetry/telemetry.hpp
@@ -9,6 +9,7 @@
 #include "kernel/registry.hpp"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bramleyarch::services
@@ -36,6 +37,10 @@
 /// Adds a latency sample.
 void sample(telemetry& t, latency_kind kind, duration value);
 
+/// Text of a caller as the value of a field: its first 64 characters, with "?"
+/// for all but letters, digits, '-', '_' and '.'; "-" for none.
+std::string field_text(std::string_view text);
+
 /// Writes a structured line: `fields` are "name=value" pairs.
 void log(telemetry& t, log_severity severity, std::string event,
          std::string fields);
--- a/tests/unit/services/entry/entry_test.cpp
+++ b/tests/unit/services/entry/entry_test.cpp
@@ -223,6 +223,17 @@
     BOOST_TEST(find_header(backend->sent.back().headers, "resume") == "1");
 }
 
+BOOST_AUTO_TEST_CASE(without_another_server_a_failure_is_the_callers_answer)
+{
+    known.servers.erase({"s2"});
+    publish();
+    submit(safe, 2);
+    answer(500, "the server's own");
+    BOOST_REQUIRE(last().head.has_value());
+    BOOST_TEST(last().head->status == 500);
+    BOOST_TEST(last().body == "the server's own");
+}
+
 BOOST_AUTO_TEST_CASE(a_silent_server_loses_a_request_that_may_run_again)
 {
     submit(safe, 2);
