--- a/source/services/metrics/exposition.cpp
+++ b/source/services/metrics/exposition.cpp
@@ -27,21 +27,30 @@
 {
     auto out = std::back_inserter(text);
     auto const& values = statistics.values;
-    fmt::format_to(out, "# TYPE bramley_{}_seconds summary\n", name);
-    if (acc::count(values) > 0)
+    fmt::format_to(out, "# TYPE bramley_{}_seconds histogram\n", name);
+    double below = statistics.buckets.at(-1);
+    for (std::size_t i = 0; i < latency_buckets.size(); ++i)
     {
-        for (double const quantile : latency_quantiles)
-        {
-            fmt::format_to(
-                out, "bramley_{}_seconds{{quantile=\"{}\"}} {:.6f}\n", name,
-                quantile,
-                acc::quantile(values, acc::quantile_probability = quantile));
-        }
+        fmt::format_to(out, "bramley_{}_seconds_bucket{{le=\"{}\"}} {:.0f}\n",
+                       name, latency_buckets.at(i), below);
+        below += statistics.buckets.at(static_cast<int>(i));
     }
+    fmt::format_to(out, "bramley_{}_seconds_bucket{{le=\"+Inf\"}} {}\n", name,
+                   acc::count(values));
     fmt::format_to(out, "bramley_{}_seconds_sum {:.6f}\n", name,
                    acc::sum(values));
     fmt::format_to(out, "bramley_{}_seconds_count {}\n", name,
                    acc::count(values));
+    if (acc::count(values) == 0)
+        return;
+    fmt::format_to(out, "# TYPE bramley_{}_quantile_seconds gauge\n", name);
+    for (double const quantile : latency_quantiles)
+    {
+        fmt::format_to(
+            out, "bramley_{}_quantile_seconds{{quantile=\"{}\"}} {:.6f}\n",
+            name, quantile,
+            acc::quantile(values, acc::quantile_probability = quantile));
+    }
 }
 
 void append_gauges(std::string& text,
--- a/tests/unit/services/metrics/metrics_service_test.cpp
+++ b/tests/unit/services/metrics/metrics_service_test.cpp
@@ -10,7 +10,7 @@
 
 BOOST_AUTO_TEST_SUITE(metrics)
 
-BOOST_AUTO_TEST_CASE(page_shows_counters_quantiles_and_gauges)
+BOOST_AUTO_TEST_CASE(page_shows_counters_histograms_quantiles_and_gauges)
 {
     kernel::kernel k{kernel::run_mode::stepped};
     auto const to = k.add(make_metrics_service(
@@ -34,7 +34,13 @@
     BOOST_TEST(shows("bramley_retries_total 6\n"));
     BOOST_TEST(shows("bramley_first_byte_seconds_count 1000\n"));
     BOOST_TEST(shows("bramley_first_byte_seconds_sum 500.5"));
-    BOOST_TEST(shows("bramley_first_byte_seconds{quantile=\"0.95\"} 0.9"));
+    BOOST_TEST(
+        shows("bramley_first_byte_quantile_seconds{quantile=\"0.95\"} 0.9"));
+    BOOST_TEST(shows("# TYPE bramley_first_byte_seconds histogram\n"));
+    BOOST_TEST(shows("bramley_first_byte_seconds_bucket{le=\"0.001\"} 0\n"));
+    BOOST_TEST(shows("bramley_first_byte_seconds_bucket{le=\"0.25\"} 249\n"));
+    BOOST_TEST(shows("bramley_first_byte_seconds_bucket{le=\"2.5\"} 1000\n"));
+    BOOST_TEST(shows("bramley_first_byte_seconds_bucket{le=\"+Inf\"} 1000\n"));
     BOOST_TEST(shows("bramley_links_open 4\n"));
     BOOST_TEST(!shows("one_too_many"));
     BOOST_TEST(shows("router=\"r1\",domain=\"d1\""));
