Watch rules and servers apart from routers; pause between watches

Cause: one watch over all keys, so that each start, stop and change anywhere returned a call of every router, and a watch of 2.5 s without changes. Now rules and servers are watched as two groups, routers are read once and learned by beats, a watch that saw changes is followed by a pause, and a dead watch is noticed by the lease's renewal or by a peer that knows more.

Ruled out: a longer watch alone (a third of the calls at most; most were returns by the routers' own keys), old reads instead of watches (their age has no bound).

--- a/source/config/settings.cpp
+++ b/source/config/settings.cpp
@@ -206,12 +206,16 @@
     { return decimal_of(r, section::shared, key); };
     auto const seconds = [&](auto key)
     { return std::chrono::seconds{number(key)}; };
+    auto const milliseconds = [&](auto key)
+    { return std::chrono::milliseconds{number(key)}; };
     return {.retry_ratio = decimal("retry_ratio"),
             .retry_slack = number("retry_slack"),
             .retry_window = seconds("retry_window_s"),
             .cold_overage = decimal("cold_overage"),
             .cold_slack = number("cold_slack"),
-            .stop_limit = seconds("stop_limit_s")};
+            .stop_limit = seconds("stop_limit_s"),
+            .leaving_limit = milliseconds("leaving_limit_ms"),
+            .rules_limit = milliseconds("rules_limit_ms")};
 }
 
 settings settings_of(reading const& r)
--- a/source/decisions/peer_beat.hpp
+++ b/source/decisions/peer_beat.hpp
@@ -28,6 +28,9 @@
     router_id from;
     incarnation started = 0;
     std::uint64_t sequence = 0; ///< Rises within one start.
+    /// Revisions of the newest changes known of the store's rules and servers.
+    revision rules_changed = 0;
+    revision servers_changed = 0;
     std::vector<server_count> loads;
     std::vector<suspect_body> suspects;
 };
--- a/source/router/store_assembly.cpp
+++ b/source/router/store_assembly.cpp
@@ -12,6 +12,7 @@
 #include "services/store/store_service.hpp"
 #include "services/timeline/timeline_service.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <sys/stat.h>
 
@@ -53,6 +54,15 @@
     return entry;
 }
 
+/// A part of the tightest limit on changes of the store; the rest is for a call
+/// that fails and for the way of the change to the requests.
+duration watch_pause_of(config::shared_limit_settings const& limits)
+{
+    constexpr int pauses_per_limit = 4;
+    return std::min(limits.leaving_limit, limits.rules_limit) /
+           pauses_per_limit;
+}
+
 /// Attempts' events go to the service that sent them.
 std::function<void(attempt_event)> events_to_entry(kernel::kernel& k)
 {
@@ -116,7 +126,8 @@
          .address = settings.platform.address,
          .codec = options.adapter.store,
          .self = {settings.router.id, settings.listen.advertised_heartbeat},
-         .seed = options.started}));
+         .seed = options.started,
+         .watch_pause = watch_pause_of(settings.shared)}));
 }
 
 } // namespace bramleyarch::router
--- a/source/services/messages/peers.hpp
+++ b/source/services/messages/peers.hpp
@@ -29,7 +29,8 @@
 {
 };
 
-using peers_message = std::variant<routers_listed, own_report, own_suspect,
-                                   drain_started, status_query, peers_tick>;
+using peers_message =
+    std::variant<routers_listed, changes_known, own_report, own_suspect,
+                 drain_started, status_query, peers_tick>;
 
 } // namespace bramleyarch::services
--- a/source/services/messages/store.hpp
+++ b/source/services/messages/store.hpp
@@ -18,17 +18,28 @@
     std::vector<decisions::listed_router> routers;
 };
 
-/// Delivered by the store service's own timers.
-struct store_tick
+/// Revisions of the newest changes that a router knows of the store's rules and
+/// servers; 0: none.
+struct changes_known
+{
+    revision rules = 0;
+    revision servers = 0;
+
+    bool operator==(changes_known const&) const = default;
+};
+
+/// Another router knows these changes.
+struct peer_changes
 {
+    changes_known known;
 };
 
-/// A failed call is made again.
-struct store_retry
+/// Delivered by the store service's own timers.
+struct store_tick
 {
 };
 
 using store_message =
-    std::variant<store_tick, store_retry, drain_started, status_query>;
+    std::variant<store_tick, peer_changes, drain_started, status_query>;
 
 } // namespace bramleyarch::services
--- a/source/services/peers/peers_service.cpp
+++ b/source/services/peers/peers_service.cpp
@@ -55,7 +55,33 @@
     rebuild_order(state);
 }
 
-void take_beat(peers_state& state, std::string_view bytes)
+/// Tells the store service of changes that were not heard of before.
+void note_changes(peers_state& state, decisions::peer_beat const& beat)
+{
+    auto& known = state.peer_changes;
+    changes_known const newest{
+        .rules = std::max(known.rules, beat.rules_changed),
+        .servers = std::max(known.servers, beat.servers_changed)};
+    if (newest == known)
+        return;
+    known = newest;
+    send(state.store, peer_changes{newest});
+}
+
+/// The peer of a beat. One that no list named yet has started since the last
+/// one was read.
+peer& peer_of(peers_state& state, router_id const& id, endpoint const& from)
+{
+    auto const found = state.peers.find(id);
+    if (found != state.peers.end())
+        return found->second;
+    auto& added = state.peers[id];
+    added.heartbeat = from;
+    rebuild_order(state);
+    return added;
+}
+
+void take_beat(peers_state& state, endpoint const& from, std::string_view bytes)
 {
     add(state.counted.counted, counter::control_bytes_received, bytes.size());
     auto const decoded = wire::decode_beat(bytes);
@@ -65,10 +91,9 @@
         return;
     }
     auto const& beat = decoded.value();
-    auto const found = state.peers.find(beat.from);
-    if (found == state.peers.end())
-        return; // Not listed: the list names it shortly.
-    auto& p = found->second;
+    if (beat.from == state.options.self)
+        return;
+    auto& p = peer_of(state, beat.from, from);
     if (beat.started < p.started ||
         (beat.started == p.started && beat.sequence <= p.sequence))
         return;
@@ -76,6 +101,7 @@
     p.started = beat.started;
     p.sequence = beat.sequence;
     p.seen = now(*state.clock);
+    note_changes(state, beat);
     peer_report report{.peer = beat.from};
     for (auto const& load : beat.loads)
         report.loads.push_back(
@@ -92,7 +118,9 @@
         return;
     decisions::peer_beat beat{.from = state.options.self,
                               .started = state.options.started,
-                              .sequence = ++state.sequence};
+                              .sequence = ++state.sequence,
+                              .rules_changed = state.own_changes.rules,
+                              .servers_changed = state.own_changes.servers};
     for (auto& suspect : state.suspects)
     {
         beat.suspects.push_back(suspect.body);
@@ -113,6 +141,11 @@
     }
 }
 
+void receive_one(peers_state& state, context&, changes_known const& own)
+{
+    state.own_changes = own;
+}
+
 void receive_one(peers_state& state, context&, own_suspect const& suspect)
 {
     constexpr std::size_t most_suspects = 32;
@@ -150,9 +183,11 @@
     connect(state.counted, *ctx.names);
     state.routing =
         ctx.names->find<routing_message>(to_name(service_name::routing));
-    auto socket = net::open_datagrams(*state.options.loop, state.options.listen,
-                                      [&state](endpoint, std::string_view bytes)
-                                      { take_beat(state, bytes); });
+    state.store = ctx.names->find<store_message>(to_name(service_name::store));
+    auto socket = net::open_datagrams(
+        *state.options.loop, state.options.listen,
+        [&state](endpoint const& from, std::string_view bytes)
+        { take_beat(state, from, bytes); });
     if (socket)
         state.socket = socket.value();
     else
--- a/source/services/peers/peers_service.hpp
+++ b/source/services/peers/peers_service.hpp
@@ -7,6 +7,7 @@
 #include "net/udp.hpp"
 #include "services/messages/peers.hpp"
 #include "services/messages/routing.hpp"
+#include "services/messages/store.hpp"
 #include "services/telemetry/telemetry.hpp"
 
 #include <cstdint>
@@ -59,7 +60,10 @@
     std::uint32_t told_size = 0;
     /// Told in some beats, since datagrams get lost.
     std::vector<told_suspect> suspects;
+    changes_known own_changes;  ///< Of this router.
+    changes_known peer_changes; ///< The newest that others told of.
     kernel::address<routing_message> routing;
+    kernel::address<store_message> store;
     kernel::address<peers_message> self;
     runtime_clock const* clock = nullptr;
     telemetry counted;
--- a/source/services/store/store_codec.hpp
+++ b/source/services/store/store_codec.hpp
@@ -1,9 +1,11 @@
 /// The calls of a store, apart from their encoding.
 #pragma once
 
+#include "common/enum_names.hpp"
 #include "common/error.hpp"
 #include "decisions/discovery.hpp"
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -12,6 +14,29 @@
 namespace bramleyarch::services
 {
 
+/// Records that are listed and watched together.
+enum class record_group
+{
+    rules,   ///< The operators' rules and domains taken out.
+    servers, ///< Backend servers.
+    routers, ///< Routers, this one among them.
+};
+
+constexpr auto enum_names(record_group)
+{
+    using g = record_group;
+    using row = enum_name<record_group>;
+    return std::array{row{g::rules, "rules"}, row{g::servers, "servers"},
+                      row{g::routers, "routers"}};
+}
+
+/// How old a list may be.
+enum class list_age
+{
+    current,
+    any, ///< Some seconds, at a tenth of the price.
+};
+
 /// An HTTP call to the store.
 struct store_call
 {
@@ -33,9 +58,13 @@
 /// `platform_unavailable` on text that they can't read.
 struct store_codec
 {
-    store_call (*list)(std::string_view after_key) = nullptr;
+    /// Group of a key; `routers` for keys of no concern.
+    record_group (*group_of)(std::string_view key) = nullptr;
+    store_call (*list)(record_group group, std::string_view after_key,
+                       list_age age) = nullptr;
     result<store_changes> (*read_list)(std::string_view body) = nullptr;
-    store_call (*watch)(revision after, duration wait) = nullptr;
+    store_call (*watch)(record_group group, revision after,
+                        duration wait) = nullptr;
     result<store_changes> (*read_watch)(std::string_view body) = nullptr;
     store_call (*grant_lease)(duration ttl) = nullptr;
     result<std::uint64_t> (*read_lease)(std::string_view body) = nullptr;
--- a/source/wire/peer_beats.cpp
+++ b/source/wire/peer_beats.cpp
@@ -20,7 +20,8 @@
 template <class Archive>
 void serialize(Archive& archive, peer_beat& beat)
 {
-    archive(beat.from, beat.started, beat.sequence, beat.loads, beat.suspects);
+    archive(beat.from, beat.started, beat.sequence, beat.rules_changed,
+            beat.servers_changed, beat.loads, beat.suspects);
 }
 
 } // namespace bramleyarch::decisions
@@ -32,7 +33,7 @@
 {
 
 /// First bytes of a beat; the last one is the version of its form.
-constexpr std::string_view beat_mark{"brP\x01"};
+constexpr std::string_view beat_mark{"brP\x02"};
 
 constexpr std::size_t max_beat_bytes = 16U << 10;
 
--- a/tests/unit/platform/store_codec_test.cpp
+++ b/tests/unit/platform/store_codec_test.cpp
@@ -17,9 +17,15 @@
 BOOST_AUTO_TEST_CASE(lists_go_on_after_the_last_key)
 {
     auto const codec = store_codec();
-    BOOST_TEST(codec.list("").target == "/kv-range?PathPrefix=");
-    BOOST_TEST(codec.list("a b/c").target ==
-               "/kv-range?PathPrefix=&After=a%20b/c");
+    using services::list_age;
+    using services::record_group;
+    BOOST_TEST(codec.list(record_group::rules, "", list_age::current).target ==
+               "/kv-range?PathPrefix=op/");
+    BOOST_TEST(
+        codec.list(record_group::servers, "a b/c", list_age::current).target ==
+        "/kv-range?PathPrefix=servers/&After=a%20b/c");
+    BOOST_TEST(codec.list(record_group::routers, "", list_age::any).target ==
+               "/kv-range?PathPrefix=routers/&AllowStale=1");
     json const page{{"Items",
                      {{{"Key", "op/evacuate/a"},
                        {"Value", to_base64("{}")},
@@ -41,8 +47,9 @@
 BOOST_AUTO_TEST_CASE(watches_tell_writes_from_removals)
 {
     auto const codec = store_codec();
-    BOOST_TEST(codec.watch(411, 2500ms).target ==
-               "/kv-watch?PathPrefix=&After=411&WaitMs=2500");
+    BOOST_TEST(
+        codec.watch(services::record_group::servers, 411, 2500ms).target ==
+        "/kv-watch?PathPrefix=servers/&After=411&WaitMs=2500");
     json const seen{
         {"events",
          {{{"Key", "servers/i-1"}, {"Revision", 412}, {"Deleted", true}}}},
@@ -54,6 +61,16 @@
     BOOST_TEST(read.value().changes[0].changed == 412U);
 }
 
+BOOST_AUTO_TEST_CASE(each_key_belongs_to_the_group_of_its_prefix)
+{
+    using services::record_group;
+    auto const codec = store_codec();
+    BOOST_CHECK(codec.group_of("op/config") == record_group::rules);
+    BOOST_CHECK(codec.group_of("op/evacuate/a") == record_group::rules);
+    BOOST_CHECK(codec.group_of("servers/i-1") == record_group::servers);
+    BOOST_CHECK(codec.group_of("routers/r1") == record_group::routers);
+}
+
 BOOST_AUTO_TEST_CASE(answers_that_can_not_be_read_are_errors)
 {
     auto const codec = store_codec();
--- /dev/null
+++ b/tests/unit/services/peers/peers_service_test.cpp
@@ -0,0 +1,166 @@
+/// Tests of what routers tell each other, over sockets on loopback.
+#include "kernel/kernel.hpp"
+#include "net/loop.hpp"
+#include "services/messages/names.hpp"
+#include "services/peers/peers_service.hpp"
+#include "wire/peer_beats.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace bramleyarch;
+using namespace bramleyarch::services;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+template <class Message>
+struct recorder
+{
+    std::shared_ptr<std::vector<Message>> seen =
+        std::make_shared<std::vector<Message>>();
+};
+
+template <class Message>
+void record(recorder<Message>& state, kernel::context<Message>&,
+            Message message)
+{
+    state.seen->push_back(std::move(message));
+}
+
+/// A peers service and a socket of another router.
+struct peers_bench
+{
+    net::loop_ptr loop = net::make_loop().value();
+    kernel::kernel k{kernel::run_mode::one_loop,
+                     {.wait = [this](duration limit)
+                      { net::wait(*loop, std::min<duration>(limit, 2ms)); }}};
+    recorder<routing_message> routing;
+    recorder<store_message> store;
+    std::vector<decisions::peer_beat> heard;
+    net::datagram_socket* other = nullptr;
+    endpoint at{"127.0.0.1", 0};
+    kernel::address<peers_message> peers;
+
+    peers_bench()
+    {
+        auto const socket = net::open_datagrams(
+            *loop, {"127.0.0.1", 0},
+            [this](endpoint const&, std::string_view bytes)
+            {
+                if (auto beat = wire::decode_beat(bytes))
+                    heard.push_back(std::move(beat).value());
+            });
+        other = socket.value();
+        // A port that was free a moment ago.
+        auto* const probe =
+            net::open_datagrams(*loop, at,
+                                [](endpoint const&, std::string_view) {})
+                .value();
+        at.port = net::port_of(*probe);
+        net::close(*probe);
+        net::wait(*loop, 1ms); // It is closed at the end of a turn.
+        k.add(kernel::service<recorder<routing_message>, routing_message>{
+            .name = std::string{to_name(service_name::routing)},
+            .state = routing,
+            .receive = record});
+        k.add(kernel::service<recorder<store_message>, store_message>{
+            .name = std::string{to_name(service_name::store)},
+            .state = store,
+            .receive = record});
+        peers = k.add(make_peers_service(
+            {.loop = loop, .self = {"r1"}, .started = 1, .listen = at}));
+        k.start();
+    }
+
+    ~peers_bench()
+    {
+        k.stop();
+        net::close(*other);
+    }
+
+    void tell(decisions::peer_beat const& beat)
+    {
+        net::send(*other, at, wire::encode_beat(beat));
+    }
+
+    template <class Condition>
+    void run_until(Condition done)
+    {
+        auto const limit = std::chrono::steady_clock::now() + 20s;
+        k.run([&]
+              { return done() || std::chrono::steady_clock::now() > limit; });
+        BOOST_REQUIRE(done());
+    }
+
+    std::uint32_t fleet() const
+    {
+        std::uint32_t routers = 0;
+        for (auto const& message : *routing.seen)
+        {
+            if (auto const* size = std::get_if<fleet_size>(&message))
+                routers = size->routers;
+        }
+        return routers;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(peers_service, peers_bench)
+
+BOOST_AUTO_TEST_CASE(a_router_that_no_list_names_yet_is_known_by_its_beat)
+{
+    tell({.from = {"r2"}, .started = 5, .sequence = 1, .loads = {{11, 3}}});
+    run_until([this] { return fleet() == 2; });
+    // It is told in turn, at the address that its beat came from.
+    send(peers, own_report{{{.server_hash = 12, .in_flight = 1}}});
+    run_until([this] { return !heard.empty(); });
+    BOOST_TEST(heard.front().from.value == "r1");
+}
+
+BOOST_AUTO_TEST_CASE(own_beats_that_come_back_are_ignored)
+{
+    tell({.from = {"r1"}, .started = 5, .sequence = 1});
+    tell({.from = {"r3"}, .started = 5, .sequence = 1});
+    run_until([this] { return fleet() > 1; });
+    BOOST_TEST(fleet() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(changes_that_peers_know_reach_the_store_service_once)
+{
+    tell({.from = {"r2"}, .started = 5, .sequence = 1, .servers_changed = 9});
+    tell({.from = {"r3"}, .started = 5, .sequence = 1, .servers_changed = 9});
+    tell({.from = {"r3"}, .started = 5, .sequence = 2, .servers_changed = 11});
+    auto const told = [this]
+    {
+        std::vector<revision> revisions;
+        for (auto const& message : *store.seen)
+        {
+            if (auto const* changes = std::get_if<peer_changes>(&message))
+                revisions.push_back(changes->known.servers);
+        }
+        return revisions;
+    };
+    run_until([&] { return !told().empty() && told().back() == 11; });
+    BOOST_CHECK(told() == (std::vector<revision>{9, 11}));
+}
+
+BOOST_AUTO_TEST_CASE(own_changes_travel_in_the_next_beat)
+{
+    tell({.from = {"r2"}, .started = 5, .sequence = 1});
+    run_until([this] { return fleet() == 2; });
+    send(peers, changes_known{.rules = 21, .servers = 22});
+    send(peers, own_report{});
+    run_until([this] { return !heard.empty(); });
+    BOOST_TEST(heard.front().rules_changed == 21U);
+    BOOST_TEST(heard.front().servers_changed == 22U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/services/store/store_bench.hpp
@@ -0,0 +1,230 @@
+/// A store service over a fake transport and codec, between recording
+/// services, on a stepped kernel with a paused clock.
+#pragma once
+
+#include "kernel/kernel.hpp"
+#include "services/messages/names.hpp"
+#include "services/store/store_service.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bramleyarch::test
+{
+
+using namespace bramleyarch::services;
+using namespace std::chrono_literals;
+using decisions::record_change;
+
+/// Answers that bodies name by their position.
+inline std::vector<store_changes>& prepared_answers()
+{
+    static std::vector<store_changes> answers;
+    return answers;
+}
+
+inline result<store_changes> read_prepared(std::string_view body)
+{
+    return prepared_answers().at(std::stoul(std::string{body}));
+}
+
+inline store_call fake_call(std::string target)
+{
+    return {.method = "GET", .target = std::move(target)};
+}
+
+inline record_group fake_group_of(std::string_view key)
+{
+    return from_name<record_group>(key.substr(0, key.find('/')))
+        .value_or(record_group::routers);
+}
+
+inline decisions::record fake_record(std::string_view key)
+{
+    std::string const name{key.substr(key.find('/') + 1)};
+    switch (fake_group_of(key))
+    {
+    case record_group::servers:
+        return decisions::server_entry{
+            .server = {.id = {name}, .service = {"desk"}, .born = 1}};
+    case record_group::routers:
+        return decisions::listed_router{{name}, {"10.0.0.9", 7340}};
+    case record_group::rules:
+        break;
+    }
+    return decisions::domain_taken_out{{name}};
+}
+
+inline store_codec fake_codec()
+{
+    return {.group_of = fake_group_of,
+            .list =
+                [](record_group group, std::string_view after, list_age age)
+            {
+                return fake_call(
+                    fmt::format("list {} {}{}", to_name(group), after,
+                                age == list_age::any ? " of any age" : ""));
+            },
+            .read_list = read_prepared,
+            .watch =
+                [](record_group group, revision after, duration wait)
+            {
+                return fake_call(fmt::format("watch {} {} {}", to_name(group),
+                                             after, to_ms(wait)));
+            },
+            .read_watch = read_prepared,
+            .grant_lease = [](duration) { return fake_call("grant"); },
+            .read_lease = [](std::string_view) -> result<std::uint64_t>
+            { return 7; },
+            .renew_lease = [](std::uint64_t) { return fake_call("renew"); },
+            .end_lease = [](std::uint64_t) { return fake_call("end"); },
+            .list_router = [](decisions::listed_router const&, std::uint64_t)
+            { return fake_call("write"); },
+            .named_by = fake_record};
+}
+
+template <class Message>
+struct recorder
+{
+    std::shared_ptr<std::vector<Message>> seen =
+        std::make_shared<std::vector<Message>>();
+};
+
+template <class Message>
+void record(recorder<Message>& state, kernel::context<Message>&,
+            Message message)
+{
+    state.seen->push_back(std::move(message));
+}
+
+struct store_bench
+{
+    kernel::kernel k{kernel::run_mode::stepped};
+    std::vector<http::client_request> calls; ///< All that were made.
+    std::vector<std::uint64_t> closed;
+    std::function<void(http::client_event)> deliver;
+    recorder<peers_message> peers;
+    recorder<routing_message> routing;
+    kernel::address<store_message> store;
+
+    store_bench()
+    {
+        prepared_answers().clear();
+        k.add(kernel::service<recorder<peers_message>, peers_message>{
+            .name = std::string{to_name(service_name::peers)},
+            .state = peers,
+            .receive = record});
+        k.add(kernel::service<recorder<routing_message>, routing_message>{
+            .name = std::string{to_name(service_name::routing)},
+            .state = routing,
+            .receive = record});
+        store = k.add(make_store_service(
+            {.codec = fake_codec(),
+             .self = {{"r1"}, {"10.0.0.1", 7340}},
+             .transport = {
+                 .open = [this](http::client_request request)
+                 { calls.push_back(std::move(request)); },
+                 .close = [this](std::uint64_t id) { closed.push_back(id); },
+                 .subscribe =
+                     [this](std::function<void(http::client_event)> take)
+                 { deliver = std::move(take); }}}));
+        k.start();
+        k.run_until_idle();
+    }
+
+    /// Number of calls whose target begins with `text`.
+    std::size_t count(std::string_view text) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            calls.begin(), calls.end(),
+            [&](auto const& call) { return call.target.starts_with(text); }));
+    }
+
+    /// The newest call whose target begins with `text`.
+    http::client_request last(std::string_view text) const
+    {
+        auto const found = std::find_if(
+            calls.rbegin(), calls.rend(),
+            [&](auto const& call) { return call.target.starts_with(text); });
+        BOOST_REQUIRE(found != calls.rend());
+        return *found;
+    }
+
+    void answer(std::string_view text, store_changes changes, int status = 200)
+    {
+        auto const id = last(text).id;
+        prepared_answers().push_back(std::move(changes));
+        deliver(http::response_head{.id = id, .status = status});
+        deliver(http::response_bytes{
+            id, std::to_string(prepared_answers().size() - 1)});
+        deliver(http::response_end{id});
+        k.run_until_idle();
+    }
+
+    void lose(std::string_view text)
+    {
+        deliver(http::response_failed{
+            .id = last(text).id,
+            .cause = {error_kind::server_silent, "no answer"}});
+        k.run_until_idle();
+    }
+
+    /// Both groups are listed as of revision 10 and watched; the router is
+    /// listed.
+    void settle()
+    {
+        answer("list rules", {.as_of = 10});
+        answer("list servers",
+               {.changes = {change("servers/i-1", 8), change("servers/i-2", 9)},
+                .as_of = 10});
+        answer("grant", {});
+        answer("write", {});
+        answer("list routers",
+               {.changes = {change("routers/r2", 5)}, .as_of = 10});
+    }
+
+    static record_change change(std::string const& key, revision at)
+    {
+        return {.key = key, .changed = at, .content = fake_record(key)};
+    }
+
+    static record_change removal(std::string const& key, revision at)
+    {
+        return {.key = key,
+                .changed = at,
+                .removed = true,
+                .content = fake_record(key)};
+    }
+
+    /// Servers of the last deployment that was published.
+    std::size_t servers() const
+    {
+        std::size_t known = 0;
+        for (auto const& message : *routing.seen)
+        {
+            if (auto const* d = std::get_if<deployment_changed>(&message))
+                known = d->deployment->servers.size();
+        }
+        return known;
+    }
+
+    /// Routers of the last list that was published.
+    std::size_t routers() const
+    {
+        std::size_t known = 0;
+        for (auto const& message : *peers.seen)
+        {
+            if (auto const* listed = std::get_if<routers_listed>(&message))
+                known = listed->routers.size();
+        }
+        return known;
+    }
+};
+
+} // namespace bramleyarch::test
--- a/tests/unit/wire/peer_beats_test.cpp
+++ b/tests/unit/wire/peer_beats_test.cpp
@@ -14,6 +14,8 @@
 decisions::peer_beat const sample{.from = {"r1"},
                                   .started = 7,
                                   .sequence = 9,
+                                  .rules_changed = 31,
+                                  .servers_changed = 32,
                                   .loads = {{11, 3}, {12, 4}},
                                   .suspects = {{21, 22}}};
 
@@ -29,6 +31,8 @@
     BOOST_TEST(beat.from.value == "r1");
     BOOST_TEST(beat.started == 7U);
     BOOST_TEST(beat.sequence == 9U);
+    BOOST_TEST(beat.rules_changed == 31U);
+    BOOST_TEST(beat.servers_changed == 32U);
     BOOST_REQUIRE(beat.loads.size() == 2U);
     BOOST_TEST(beat.loads[1].server == 12U);
     BOOST_TEST(beat.loads[1].in_flight == 4U);
