Copy prompts from the server where their requests met

Cause: shared parts that are read again were the greatest price and the longest waits: a prompt that spills, or moves because servers come and go, was read anew although another server held it. A request now names the server that most likely holds its prompt, and the one that runs it copies what it lacks.

Ruled out: a wider load bound, so that less spills (breaks the bound on servers' load); keeping new servers out of the order (they are added to be used).

--- a/source/decisions/server_choice.cpp
+++ b/source/decisions/server_choice.cpp
@@ -53,6 +53,11 @@
     return shared;
 }
 
+std::uint64_t prompt_weight(shared_prompt const& prompt, std::uint64_t server)
+{
+    return mix(prompt.key, server);
+}
+
 std::optional<server_choice> choose(std::vector<server_option> const& servers,
                                     double mean,
                                     std::optional<shared_prompt> prompt,
@@ -72,8 +77,8 @@
     std::sort(order.begin(), order.end(),
               [&](std::size_t a, std::size_t b)
               {
-                  return mix(prompt->key, servers[a].hash) >
-                         mix(prompt->key, servers[b].hash);
+                  return prompt_weight(*prompt, servers[a].hash) >
+                         prompt_weight(*prompt, servers[b].hash);
               });
     for (auto const index : order)
     {
--- a/source/decisions/server_choice.hpp
+++ b/source/decisions/server_choice.hpp
@@ -75,6 +75,9 @@
 std::optional<shared_prompt>
 shared_prompt_of(std::vector<prompt_part> const& prompt);
 
+/// Place of a server in the prompt's order: the greatest weight comes first.
+std::uint64_t prompt_weight(shared_prompt const& prompt, std::uint64_t server);
+
 /// Nothing when there is no option. `mean` is the load of a server of the
 /// service on average, those included that can't be sent anything now. `draw`
 /// is a random number, which decides between equals.
--- a/source/services/entry/backend_dialect.hpp
+++ b/source/services/entry/backend_dialect.hpp
@@ -44,13 +44,21 @@
     std::optional<stated_load> load;
 };
 
+/// What one attempt says beside the request itself.
+struct attempt_terms
+{
+    duration left{}; ///< Time that the server has.
+    /// Last event that the caller was sent.
+    std::optional<std::uint64_t> resume_after;
+    /// Server from which what is lacking of the prompt can be copied.
+    std::optional<endpoint> copy_from;
+};
+
 struct backend_dialect
 {
-    /// Headers of one attempt. `left` is the time that the server has;
-    /// `resume_after` the last event that the caller was sent.
     std::vector<header_field> (*attempt_headers)(
         routed_request const& request, config::listed_server const& server,
-        duration left, std::optional<std::uint64_t> resume_after) = nullptr;
+        attempt_terms const& terms) = nullptr;
     answer_facts (*read_head)(routed_request const& request, int status,
                               std::vector<header_field> const& headers) =
         nullptr;
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -6,6 +6,7 @@
 #include "decisions/crash_ledger.hpp"
 #include "decisions/event_cursor.hpp"
 #include "decisions/fleet_share.hpp"
+#include "decisions/prompt_copy.hpp"
 #include "decisions/server_choice.hpp"
 #include "kernel/service.hpp"
 #include "services/entry/backend_dialect.hpp"
@@ -35,6 +36,7 @@
     decisions::retry_share_options retries;
     decisions::cold_share_options cold;
     decisions::choice_options choice;
+    decisions::copy_options copies;
     /// Answers other than streams up to this size are held until they are
     /// whole, so that one that is cut off can still be replaced.
     std::size_t max_held_answer_bytes = 256U << 10;
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -144,6 +144,29 @@
     view.next_cold = at + decisions::cold_spacing(rate, state.options.cold);
 }
 
+/// The server of the service from which the chosen one can copy the prompt.
+server_view const* copy_source_of(entry_state const& state,
+                                  entry_request const& r,
+                                  server_view const& chosen)
+{
+    std::vector<server_view const*> views;
+    std::vector<decisions::copy_source> sources;
+    for (auto const& [id, view] : state.servers)
+    {
+        if (view.listed.service != chosen.listed.service)
+            continue;
+        views.push_back(&view);
+        sources.push_back({.hash = view.hash,
+                           .born = view.listed.born,
+                           .reachable = !view.left_out && !view.misdirected});
+    }
+    auto const found = decisions::find_copy(
+        sources, chosen.hash,
+        decisions::shared_prompt_of(r.request.terms.prompt),
+        state.options.copies);
+    return found ? views[*found] : nullptr;
+}
+
 void dispatch_to(entry_state& state, entry_context& ctx, entry_request& r,
                  server_view& view, decisions::server_choice const& choice)
 {
@@ -159,15 +182,20 @@
     ++view.own;
     note_cold_send(state, view, at);
     auto const resume = r.cursor.last_id;
+    auto const* const copy = copy_source_of(state, r, view);
+    attempt_terms terms{.left = left, .resume_after = resume};
+    if (copy)
+        terms.copy_from = copy->listed.address;
     log(state.counted, log_severity::info, "attempt",
         fmt::format("request={} caller_id={} route={} attempt={} server={} "
-                    "choice={} own={} peers={} left_ms={} rules={}{}",
+                    "choice={} own={} peers={} left_ms={} rules={}{}{}",
                     to_text(r.request.id),
                     field_text(r.request.terms.caller_id),
                     r.request.terms.route, r.attempt, r.server.value,
                     to_name(choice.cause), view.own, view.peers, to_ms(left),
                     state.deployment->rules->version,
-                    resume ? fmt::format(" resume_after={}", *resume) : ""));
+                    resume ? fmt::format(" resume_after={}", *resume) : "",
+                    copy ? " copy_from=" + copy->listed.id.value : ""));
     send(state.backend,
          dispatch{.attempt = {r.request.id, r.attempt},
                   .server = r.server,
@@ -175,7 +203,7 @@
                   .method = r.request.method,
                   .target = r.request.target,
                   .headers = state.options.dialect.attempt_headers(
-                      r.request, view.listed, left, resume),
+                      r.request, view.listed, terms),
                   .body = r.request.body,
                   .credit = initial_credit_bytes,
                   .silence_limit = left + silence_beyond_deadline,
--- a/tests/unit/platform/dialects_test.cpp
+++ b/tests/unit/platform/dialects_test.cpp
@@ -173,7 +173,11 @@
         .headers = {{"x-bramleyarch-deadline-ms", "9000"},
                     {"last-event-id", "3"}}};
     auto const headers = backend_dialect().attempt_headers(
-        request, {.id = {"i-1"}}, 1500ms, std::uint64_t{8});
+        request, {.id = {"i-1"}},
+        {.left = 1500ms,
+         .resume_after = 8,
+         .copy_from = endpoint{"10.0.0.2", 81}});
+    BOOST_TEST(find_header(headers, "kv-fetch") == "10.0.0.2:81");
     BOOST_TEST(find_header(headers, "x-bramleyarch-deadline-ms") == "1500");
     BOOST_TEST(find_header(headers, "x-bramleyarch-expect-instance") == "i-1");
     BOOST_TEST(find_header(headers, "x-bramleyarch-tenant") == "team");
--- a/tests/unit/services/entry/bench.hpp
+++ b/tests/unit/services/entry/bench.hpp
@@ -45,12 +45,15 @@
 /// Headers that name the server, the time left and the event to go on after.
 inline std::vector<header_field>
 test_headers(routed_request const&, config::listed_server const& server,
-             duration left, std::optional<std::uint64_t> resume_after)
+             attempt_terms const& terms)
 {
-    std::vector<header_field> headers{{"server", server.id.value},
-                                      {"left", std::to_string(to_ms(left))}};
-    if (resume_after)
-        headers.push_back({"resume", std::to_string(*resume_after)});
+    std::vector<header_field> headers{
+        {"server", server.id.value},
+        {"left", std::to_string(to_ms(terms.left))}};
+    if (terms.resume_after)
+        headers.push_back({"resume", std::to_string(*terms.resume_after)});
+    if (terms.copy_from)
+        headers.push_back({"copy", terms.copy_from->address});
     return headers;
 }
 
