Know the fleet's loads, and spread hot prompts, on large fleets

Causes, from the attempts' lines replayed against each server's requests: routers saw 4 requests at servers that held 13. (1) A router heard of each of 79 others every 1.6 s, later than loads count. Now domains tell others their sum, and own-domain peers are heard every 0.6 s. (2) Routers that start together told the same peers in the same round; turns are staggered now. (3) The bound for long prompts left 0.1 of the mean to the limit, which a taken-out domain uses up; all prompts spill at 0.8 of the limit, which is a setting (load_factor). (4) A hot prompt moved all routers to its next server at once; each router now finds the spread from its own sample. (5) The preference for the own domain had no bound.

Suspected requests are told on, so that they reach routers that the first beats did not.

Ruled out: servers that are slow after their start (143 requests over the limit, 12 of them at servers younger than 10 s).

--- a/source/config/settings.cpp
+++ b/source/config/settings.cpp
@@ -214,6 +214,7 @@
             .cold_overage = decimal("cold_overage"),
             .cold_slack = number("cold_slack"),
             .stop_limit = seconds("stop_limit_s"),
+            .load_factor = decimal("load_factor"),
             .leaving_limit = milliseconds("leaving_limit_ms"),
             .rules_limit = milliseconds("rules_limit_ms")};
 }
--- a/source/config/settings.hpp
+++ b/source/config/settings.hpp
@@ -116,8 +116,9 @@
     double cold_overage = 0;      ///< Times a cold server's stated rate.
     std::uint32_t cold_slack = 0; ///< Requests a second beyond that.
     duration stop_limit{};        ///< From the signal to the forced end.
-    duration leaving_limit{};     ///< From a leave until no request follows it.
-    duration rules_limit{};       ///< From new rules until they are in force.
+    double load_factor = 0;   ///< Times the mean load that a server may have.
+    duration leaving_limit{}; ///< From a leave until no request follows it.
+    duration rules_limit{};   ///< From new rules until they are in force.
 };
 
 /// All settings; one member per section of the file.
--- a/source/config/settings_table.cpp
+++ b/source/config/settings_table.cpp
@@ -285,6 +285,15 @@
                 .default_text = "8",
                 .text = "Time from the stop signal until the process is "
                         "killed."},
+    setting_row{.section = s::shared,
+                .key = "load_factor",
+                .type = t::decimal,
+                .unit = "times",
+                .min = 1,
+                .max = 100,
+                .default_text = "2",
+                .text = "Load of a server over the mean of its service that "
+                        "the deployment allows."},
     setting_row{.section = s::shared,
                 .key = "leaving_limit_ms",
                 .type = t::integer,
--- a/source/decisions/discovery.hpp
+++ b/source/decisions/discovery.hpp
@@ -19,6 +19,7 @@
 {
     router_id id;
     endpoint heartbeat;
+    domain_id domain;
 
     bool operator==(listed_router const&) const = default;
 };
--- a/source/decisions/peer_beat.hpp
+++ b/source/decisions/peer_beat.hpp
@@ -26,11 +26,13 @@
 struct peer_beat
 {
     router_id from;
+    domain_id domain; ///< Of the sender.
     incarnation started = 0;
     std::uint64_t sequence = 0; ///< Rises within one start.
     /// Revisions of the newest changes known of the store's rules and servers.
     revision rules_changed = 0;
     revision servers_changed = 0;
+    /// The sender's own, or, sent to another domain, those of its whole domain.
     std::vector<server_count> loads;
     std::vector<suspect_body> suspects;
 };
--- a/source/decisions/server_choice.cpp
+++ b/source/decisions/server_choice.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace bramleyarch::decisions
 {
@@ -20,11 +21,16 @@
     return (server.load + 1) / std::max(server.slots, 1U);
 }
 
-std::size_t least_used(std::vector<server_option> const& servers,
+/// The least used of the servers. One of the own domain is preferred while its
+/// load is under `bound`.
+std::size_t least_used(std::vector<server_option> const& servers, double bound,
                        std::uint64_t draw)
 {
-    auto const cost = [](server_option const& server)
-    { return use_of(server) + (server.own_domain ? 0 : domain_preference); };
+    auto const cost = [bound](server_option const& server)
+    {
+        bool const preferred = server.own_domain && server.load < bound;
+        return use_of(server) + (preferred ? 0 : domain_preference);
+    };
     std::size_t best = 0;
     std::uint64_t ties = 0;
     for (std::size_t i = 1; i < servers.size(); ++i)
@@ -58,6 +64,12 @@
     return mix(prompt.key, server);
 }
 
+double bound_of(double mean, choice_options const& options)
+{
+    return options.used_part *
+           (options.limit_factor * mean + options.limit_slack);
+}
+
 std::optional<server_choice> choose(std::vector<server_option> const& servers,
                                     double mean,
                                     std::optional<shared_prompt> prompt,
@@ -66,12 +78,9 @@
 {
     if (servers.empty())
         return std::nullopt;
+    auto const bound = bound_of(mean, options);
     if (!prompt)
-        return server_choice{.index = least_used(servers, draw)};
-    bool const is_long = prompt->tokens >= options.long_prompt_tokens;
-    auto const bound =
-        is_long ? options.long_spill_factor * mean + options.long_spill_slack
-                : options.spill_factor * mean + options.spill_slack;
+        return server_choice{.index = least_used(servers, bound, draw)};
     std::vector<std::size_t> order(servers.size());
     std::iota(order.begin(), order.end(), std::size_t{0});
     std::sort(order.begin(), order.end(),
@@ -80,17 +89,21 @@
                   return prompt_weight(*prompt, servers[a].hash) >
                          prompt_weight(*prompt, servers[b].hash);
               });
+    // The servers that share a hot prompt change places at random.
+    auto const shared = std::min(prompt->spread, order.size());
+    std::swap(order.front(), order[draw % shared]);
     for (auto const index : order)
     {
         auto const& server = servers[index];
         if (server.load > bound || server.load >= server.slots)
             continue;
-        return server_choice{.index = index,
-                             .cause = index == order.front()
-                                          ? choice_cause::first_of_prompt
-                                          : choice_cause::spilled};
+        auto const first = shared > 1 ? choice_cause::shared_of_prompt
+                                      : choice_cause::first_of_prompt;
+        return server_choice{
+            .index = index,
+            .cause = index == order.front() ? first : choice_cause::spilled};
     }
-    return server_choice{.index = least_used(servers, draw)};
+    return server_choice{.index = least_used(servers, bound, draw)};
 }
 
 } // namespace bramleyarch::decisions
--- a/source/decisions/server_choice.hpp
+++ b/source/decisions/server_choice.hpp
@@ -27,9 +27,10 @@
 
 enum class choice_cause
 {
-    first_of_prompt, ///< Where the prompt's requests meet.
-    spilled,         ///< Those before it have more than their part.
-    least_loaded,    ///< No shared prompt, or all are over their part.
+    first_of_prompt,  ///< Where the prompt's requests meet.
+    shared_of_prompt, ///< One of several, since the prompt is hot.
+    spilled,          ///< Those before it have more than their part.
+    least_loaded,     ///< No shared prompt, or all have their part.
 };
 
 constexpr auto enum_names(choice_cause)
@@ -37,24 +38,20 @@
     using c = choice_cause;
     using row = enum_name<choice_cause>;
     return std::array{row{c::first_of_prompt, "first_of_prompt"},
+                      row{c::shared_of_prompt, "shared_of_prompt"},
                       row{c::spilled, "spilled"},
                       row{c::least_loaded, "least_loaded"}};
 }
 
 struct choice_options
 {
-    /// Load of a server over the mean beyond which requests of a prompt spill.
-    /// Between even spread (1) and the platform's limit (2).
-    double spill_factor = 1.6;
-    /// Requests beyond that, so that an idle fleet does not spill at once.
-    double spill_slack = 2.5;
-    /// The same for prompts whose shared parts take long to read anew; up to
-    /// the platform's limit.
-    double long_spill_factor = 1.9;
-    double long_spill_slack = 3;
-    /// Shared tokens from which a prompt counts as long: some tenth of a
-    /// second of a server's reading.
-    std::uint32_t long_prompt_tokens = 4000;
+    /// The deployment's limit on the load of a server: this many times the
+    /// mean of the service and `limit_slack` requests more.
+    double limit_factor = 2;
+    double limit_slack = 3; ///< Stated by the deployment's rules.
+    /// Part of the limit from which a server gets no more than its share. The
+    /// rest is for what other routers sent since they last told their loads.
+    double used_part = 0.8;
 };
 
 struct server_choice
@@ -68,6 +65,8 @@
 {
     std::uint64_t key = 0; ///< Of the last shared part.
     std::uint32_t tokens = 0;
+    /// Servers, first of the prompt's order, that share its requests.
+    std::size_t spread = 1;
 };
 
 /// The part by which requests with this prompt find their server: the last
@@ -78,6 +77,9 @@
 /// Place of a server in the prompt's order: the greatest weight comes first.
 std::uint64_t prompt_weight(shared_prompt const& prompt, std::uint64_t server);
 
+/// Load up to which a server is sent requests of its prompts.
+double bound_of(double mean, choice_options const& options);
+
 /// Nothing when there is no option. `mean` is the load of a server of the
 /// service on average, those included that can't be sent anything now. `draw`
 /// is a random number, which decides between equals.
--- a/source/router/store_assembly.cpp
+++ b/source/router/store_assembly.cpp
@@ -96,6 +96,7 @@
     k.add(make_entry_service(entry_of(options)));
     k.add(make_peers_service({.loop = options.loop,
                               .self = settings.router.id,
+                              .domain = settings.router.domain,
                               .started = options.started,
                               .listen = settings.listen.heartbeat,
                               .seed = options.started}));
@@ -125,7 +126,8 @@
         {.loop = options.loop,
          .address = settings.platform.address,
          .codec = options.adapter.store,
-         .self = {settings.router.id, settings.listen.advertised_heartbeat},
+         .self = {settings.router.id, settings.listen.advertised_heartbeat,
+                  settings.router.domain},
          .seed = options.started,
          .watch_pause = watch_pause_of(settings.shared)}));
 }
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -12,6 +12,12 @@
 /// Server of a request's current attempt; null when it is not listed any more.
 server_view* server_of(entry_state& state, entry_request const& r);
 
+/// Requests of the other routers at the server, as last told.
+std::uint32_t peers_at(entry_state const& state, server_view const& server);
+
+/// Number of routers, this one included.
+std::uint32_t fleet_of(entry_state const& state);
+
 /// The server failed an attempt: leaves it out for a while. What fails while it
 /// is left out belongs to the same failure.
 void note_failure(entry_state& state, server_view& server, time_point at,
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -15,10 +15,6 @@
 
 constexpr int ticks_per_flush = 4;
 
-/// For this long a silent router counts among those that may send to a cold
-/// server.
-constexpr duration peer_memory = std::chrono::seconds{12};
-
 entry_request* find(entry_state& state, request_id const& id)
 {
     auto const found = state.requests.find(id);
@@ -103,39 +99,24 @@
     take_attempt_event(state, ctx, std::move(event));
 }
 
-/// Sums what the peers told within the time for which it counts.
-void sum_peers(entry_state& state, time_point at)
-{
-    for (auto& [id, view] : state.servers)
-        view.peers = 0;
-    for (auto const& [peer, loads] : state.peers)
-    {
-        if (at - loads.at > state.options.peer_loads_limit)
-            continue;
-        for (auto const& load : loads.loads)
-        {
-            auto const found = state.by_hash.find(load.server_hash);
-            if (found != state.by_hash.end())
-                found->second->peers += load.in_flight;
-        }
-    }
-}
-
-void handle(entry_state& state, entry_context& ctx, peer_report const& report)
+void handle(entry_state& state, entry_context& ctx, peer_told const& told)
 {
-    state.peers[report.peer] = {.at = now(ctx), .loads = report.loads};
-    sum_peers(state, now(ctx));
+    decisions::note_beat(state.peer_loads, state.options.domain, told.beat,
+                         now(ctx));
 }
 
+/// What is news is told on, so that it reaches all routers.
 void handle(entry_state& state, entry_context& ctx, peer_suspect const& suspect)
 {
-    decisions::note_crash(state.crashes, suspect.fingerprint,
-                          suspect.server_hash, now(ctx));
+    if (decisions::note_crash(state.crashes, suspect.fingerprint,
+                              suspect.server_hash, now(ctx)))
+        send(state.peers_service,
+             own_suspect{suspect.fingerprint, suspect.server_hash});
 }
 
-void handle(entry_state& state, entry_context&, fleet_size const& message)
+void handle(entry_state& state, entry_context&, fleet_changed message)
 {
-    state.routers = message.routers;
+    state.other_routers = std::move(message.others);
 }
 
 void handle(entry_state& state, entry_context&,
@@ -153,7 +134,7 @@
 {
     query.reply(fmt::format(
         R"({{"requests":{},"servers":{},"routers":{},"draining":{}}})",
-        state.requests.size(), state.servers.size(), state.routers,
+        state.requests.size(), state.servers.size(), fleet_of(state),
         state.draining));
 }
 
@@ -165,16 +146,19 @@
 void handle(entry_state& state, entry_context& ctx, routing_tick)
 {
     schedule(ctx, state.options.report_interval, routing_tick{});
-    std::erase_if(state.peers, [&](auto const& entry)
-                  { return now(ctx) - entry.second.at > peer_memory; });
-    sum_peers(state, now(ctx));
+    decisions::drop_old(state.peer_loads, now(ctx));
     check_pauses(state, now(ctx));
     probe_left_out(state, now(ctx));
     own_report report;
     for (auto const& [id, view] : state.servers)
     {
         if (view.own > 0)
-            report.loads.push_back({view.hash, view.own});
+            report.own.push_back({view.hash, view.own});
+        auto const of_domain =
+            view.own +
+            decisions::sums_of(state.peer_loads, view.hash).own_domain;
+        if (of_domain > 0)
+            report.domain.push_back({view.hash, of_domain});
     }
     send(state.peers_service, std::move(report));
     if (++state.ticks % ticks_per_flush != 0)
@@ -192,6 +176,7 @@
 void start(entry_state& state, entry_context& ctx)
 {
     state.random.seed(state.options.seed);
+    state.peer_loads.options = state.options.peer_loads;
     connect(state.counted, *ctx.names);
     state.backend =
         ctx.names->find<backend_message>(to_name(service_name::backend));
@@ -222,6 +207,7 @@
     options.retries.window = limits.retry_window;
     options.cold.overage = limits.cold_overage;
     options.cold.slack = limits.cold_slack;
+    options.choice.limit_factor = limits.load_factor;
 }
 
 entry_service make_entry_service(entry_options options)
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -7,7 +7,9 @@
 #include "decisions/event_cursor.hpp"
 #include "decisions/fleet_share.hpp"
 #include "decisions/prompt_copy.hpp"
+#include "decisions/prompt_heat.hpp"
 #include "decisions/server_choice.hpp"
+#include "decisions/shared_loads.hpp"
 #include "kernel/service.hpp"
 #include "services/entry/backend_dialect.hpp"
 #include "services/messages/backend.hpp"
@@ -37,6 +39,7 @@
     decisions::cold_share_options cold;
     decisions::choice_options choice;
     decisions::copy_options copies;
+    decisions::prompt_heat_options heat;
     /// Answers other than streams up to this size are held until they are
     /// whole, so that one that is cut off can still be replaced.
     std::size_t max_held_answer_bytes = 256U << 10;
@@ -64,8 +67,7 @@
     duration crash_retry_after = std::chrono::seconds{5};
     /// Between reports of the own loads to the other routers.
     duration report_interval = std::chrono::milliseconds{250};
-    /// A peer's loads count for this long.
-    duration peer_loads_limit = std::chrono::milliseconds{1500};
+    decisions::shared_loads_options peer_loads;
 };
 
 /// A backend server as this router sees it.
@@ -73,8 +75,7 @@
 {
     config::listed_server listed;
     std::uint64_t hash = 0;
-    std::uint32_t own = 0;   ///< Attempts of this router under way.
-    std::uint32_t peers = 0; ///< Those of the others, as last told.
+    std::uint32_t own = 0; ///< Attempts of this router under way.
     std::optional<stated_load> stated;
     time_point stated_at{};
     time_point cold_until{};
@@ -117,13 +118,6 @@
     kernel::timer_id silence_timer = 0;
 };
 
-/// Loads that a peer told.
-struct peer_loads
-{
-    time_point at{};
-    std::vector<counted_load> loads;
-};
-
 struct entry_state
 {
     entry_options options;
@@ -132,9 +126,10 @@
     std::unordered_map<std::uint64_t, server_view*> by_hash;
     std::unordered_map<request_id, entry_request> requests;
     std::map<service_id, decisions::retry_share> retries;
-    std::map<router_id, peer_loads> peers;
+    std::map<service_id, decisions::prompt_heat> heats;
+    decisions::shared_loads peer_loads;
     decisions::crash_ledger crashes;
-    std::uint32_t routers = 1;
+    std::vector<router_id> other_routers;
     kernel::address<backend_message> backend;
     kernel::address<peers_message> peers_service;
     telemetry counted;
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -26,19 +26,50 @@
     std::vector<decisions::server_option> options;
 };
 
-/// Load of a server of the service on average, of all that are listed.
-double mean_load(entry_state const& state, service_id const& service)
+/// Requests at the servers of a service, all that are listed.
+struct service_load
 {
-    double load = 0;
+    double running = 0;
     double servers = 0;
+};
+
+double mean_of(service_load const& load)
+{
+    return load.servers > 0 ? load.running / load.servers : 0;
+}
+
+service_load load_of(entry_state const& state, service_id const& service)
+{
+    service_load load;
     for (auto const& [id, view] : state.servers)
     {
         if (view.listed.service != service)
             continue;
-        load += view.own + view.peers;
-        servers += 1;
+        load.running += view.own + peers_at(state, view);
+        load.servers += 1;
     }
-    return servers > 0 ? load / servers : 0;
+    return load;
+}
+
+/// The request's prompt and over how many servers it is spread now.
+std::optional<decisions::shared_prompt> prompt_of(entry_state& state,
+                                                  entry_request const& r,
+                                                  service_load const& load,
+                                                  time_point at)
+{
+    auto prompt = decisions::shared_prompt_of(r.request.terms.prompt);
+    if (!prompt)
+        return prompt;
+    auto& heat = state.heats[r.request.service];
+    if (r.attempt == 0)
+        decisions::note_prompt(heat, prompt->key, at);
+    auto const mean = mean_of(load);
+    // What other prompts leave free of the server's bound.
+    auto const room = decisions::bound_of(mean, state.options.choice) - mean;
+    prompt->spread = decisions::spread_of(
+        decisions::share_of(heat, prompt->key, at, state.options.heat),
+        load.running, room, state.options.heat);
+    return prompt;
 }
 
 /// The service for a request: routes that share their requests between
@@ -87,11 +118,8 @@
 {
     if (at < view.next_cold)
         return false;
-    std::vector<router_id> others;
-    for (auto const& [id, loads] : state.peers)
-        others.push_back(id);
-    return decisions::may_send_cold(view.listed.id, state.options.self, others,
-                                    state.options.cold);
+    return decisions::may_send_cold(view.listed.id, state.options.self,
+                                    state.other_routers, state.options.cold);
 }
 
 void add_option(entry_state const& state, eligible_servers& to,
@@ -100,7 +128,7 @@
     to.views.push_back(&view);
     to.options.push_back(
         {.hash = view.hash,
-         .load = static_cast<double>(view.own + view.peers),
+         .load = static_cast<double>(view.own + peers_at(state, view)),
          .slots = std::max(view.listed.slots, 1U),
          .own_domain = view.listed.domain == state.options.domain});
 }
@@ -192,8 +220,8 @@
                     to_text(r.request.id),
                     field_text(r.request.terms.caller_id),
                     r.request.terms.route, r.attempt, r.server.value,
-                    to_name(choice.cause), view.own, view.peers, to_ms(left),
-                    state.deployment->rules->version,
+                    to_name(choice.cause), view.own, peers_at(state, view),
+                    to_ms(left), state.deployment->rules->version,
                     resume ? fmt::format(" resume_after={}", *resume) : "",
                     copy ? " copy_from=" + copy->listed.id.value : ""));
     send(state.backend,
@@ -267,10 +295,10 @@
     if (r.attempt == 0)
         r.request.service = pick_service(r, *state.deployment);
     auto const eligible = find_servers(state, r, at);
-    auto const choice =
-        decisions::choose(eligible.options, mean_load(state, r.request.service),
-                          decisions::shared_prompt_of(r.request.terms.prompt),
-                          state.options.choice, state.random());
+    auto const load = load_of(state, r.request.service);
+    auto const choice = decisions::choose(eligible.options, mean_of(load),
+                                          prompt_of(state, r, load, at),
+                                          state.options.choice, state.random());
     if (!choice)
     {
         auto cause =
@@ -313,7 +341,7 @@
     bool const repeat = r.sent > 0;
     if (repeat &&
         !decisions::take_repeat(state.retries[r.request.service],
-                                state.options.retries, state.routers, at))
+                                state.options.retries, fleet_of(state), at))
     {
         count(state.counted, counter::retries_denied);
         end_request(state, ctx, r,
--- a/source/services/entry/servers.cpp
+++ b/source/services/entry/servers.cpp
@@ -50,6 +50,17 @@
         state.by_hash[view.hash] = &view;
 }
 
+std::uint32_t peers_at(entry_state const& state, server_view const& server)
+{
+    auto const sums = decisions::sums_of(state.peer_loads, server.hash);
+    return sums.own_domain + sums.elsewhere;
+}
+
+std::uint32_t fleet_of(entry_state const& state)
+{
+    return static_cast<std::uint32_t>(state.other_routers.size() + 1);
+}
+
 server_view* server_of(entry_state& state, entry_request const& r)
 {
     auto const found = state.servers.find(r.server);
--- a/source/services/messages/peers.hpp
+++ b/source/services/messages/peers.hpp
@@ -14,7 +14,9 @@
 /// Loads that the own routing service counts.
 struct own_report
 {
-    std::vector<counted_load> loads;
+    std::vector<decisions::server_count> own;
+    /// Those of the whole domain, the own ones included.
+    std::vector<decisions::server_count> domain;
 };
 
 /// A server died with this request in flight.
--- a/source/services/messages/routing.hpp
+++ b/source/services/messages/routing.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/settings.hpp"
+#include "decisions/peer_beat.hpp"
 #include "services/messages/owner.hpp"
 
 #include <functional>
@@ -65,18 +66,10 @@
     request_id request;
 };
 
-/// Requests of one router at a backend server.
-struct counted_load
+/// What another router told.
+struct peer_told
 {
-    std::uint64_t server_hash = 0; ///< `name_hash` of the server's id.
-    std::uint32_t in_flight = 0;
-};
-
-/// Loads that another router counts.
-struct peer_report
-{
-    router_id peer;
-    std::vector<counted_load> loads;
+    decisions::peer_beat beat;
 };
 
 /// Another router saw a server die with this request in flight.
@@ -92,10 +85,10 @@
     config::shared_limit_settings limits;
 };
 
-/// How many routers there are, this one included.
-struct fleet_size
+/// The other routers, as far as they are known.
+struct fleet_changed
 {
-    std::uint32_t routers = 1;
+    std::vector<router_id> others;
 };
 
 using routing_message =
@@ -104,7 +97,7 @@
                  loads_changed, demand_changed, quarantine_notice, router_lost,
                  drain_started, status_query, routing_tick, request_expired,
                  idle_query, offer_due, router_reached, deployment_changed,
-                 attempt_event, peer_report, peer_suspect, fleet_size,
+                 attempt_event, peer_told, peer_suspect, fleet_changed,
                  shared_limits_changed>;
 
 } // namespace bramleyarch::services
--- a/source/services/peers/peers_service.cpp
+++ b/source/services/peers/peers_service.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <thread>
+#include <utility>
 
 namespace bramleyarch::services
 {
@@ -22,23 +22,26 @@
 /// where some in a hundred datagrams are lost.
 constexpr int beats_per_suspect = 4;
 
-void tell_size(peers_state& state)
-{
-    auto const size = static_cast<std::uint32_t>(state.peers.size() + 1);
-    if (size == state.told_size)
-        return;
-    state.told_size = size;
-    send(state.routing, fleet_size{size});
-    log(state.counted, log_severity::info, "fleet_size",
-        fmt::format("routers={}", size));
-}
-
+/// Tells the routing service of the other routers when they change.
 void rebuild_order(peers_state& state)
 {
-    state.order.clear();
+    std::vector<router_id> others;
+    state.order.own_domain.clear();
+    state.order.elsewhere.clear();
     for (auto const& [id, p] : state.peers)
-        state.order.push_back(id);
-    tell_size(state);
+    {
+        others.push_back(id);
+        auto& turn = p.domain == state.options.domain ? state.order.own_domain
+                                                      : state.order.elsewhere;
+        turn.push_back(id);
+    }
+    if (others == state.told_fleet)
+        return;
+    state.told_fleet = others;
+    log(state.counted, log_severity::info, "fleet_changed",
+        fmt::format("routers={} own_domain={}", others.size() + 1,
+                    state.order.own_domain.size() + 1));
+    send(state.routing, fleet_changed{std::move(others)});
 }
 
 void receive_one(peers_state& state, context& ctx, routers_listed const& listed)
@@ -49,6 +52,7 @@
     {
         auto& p = state.peers[router.id];
         p.heartbeat = router.heartbeat;
+        p.domain = router.domain;
         p.listed = true;
         p.seen = now(ctx);
     }
@@ -70,13 +74,15 @@
 
 /// The peer of a beat. One that no list named yet has started since the last
 /// one was read.
-peer& peer_of(peers_state& state, router_id const& id, endpoint const& from)
+peer& peer_of(peers_state& state, decisions::peer_beat const& beat,
+              endpoint const& from)
 {
-    auto const found = state.peers.find(id);
+    auto const found = state.peers.find(beat.from);
     if (found != state.peers.end())
         return found->second;
-    auto& added = state.peers[id];
+    auto& added = state.peers[beat.from];
     added.heartbeat = from;
+    added.domain = beat.domain;
     rebuild_order(state);
     return added;
 }
@@ -84,16 +90,16 @@
 void take_beat(peers_state& state, endpoint const& from, std::string_view bytes)
 {
     add(state.counted.counted, counter::control_bytes_received, bytes.size());
-    auto const decoded = wire::decode_beat(bytes);
+    auto decoded = wire::decode_beat(bytes);
     if (!decoded)
     {
         count(state.counted, counter::heartbeats_malformed);
         return;
     }
-    auto const& beat = decoded.value();
+    auto& beat = decoded.value();
     if (beat.from == state.options.self)
         return;
-    auto& p = peer_of(state, beat.from, from);
+    auto& p = peer_of(state, beat, from);
     if (beat.started < p.started ||
         (beat.started == p.started && beat.sequence <= p.sequence))
         return;
@@ -102,21 +108,30 @@
     p.sequence = beat.sequence;
     p.seen = now(*state.clock);
     note_changes(state, beat);
-    peer_report report{.peer = beat.from};
-    for (auto const& load : beat.loads)
-        report.loads.push_back(
-            {.server_hash = load.server, .in_flight = load.in_flight});
-    send(state.routing, std::move(report));
     for (auto const& suspect : beat.suspects)
         send(state.routing, peer_suspect{suspect.fingerprint, suspect.server});
+    send(state.routing, peer_told{std::move(beat)});
+}
+
+void send_beat(peers_state& state, std::vector<router_id> const& to,
+               decisions::peer_beat const& beat)
+{
+    auto const bytes = wire::encode_beat(beat);
+    for (auto const& id : to)
+    {
+        net::send(*state.socket, state.peers.at(id).heartbeat, bytes);
+        count(state.counted, counter::heartbeats_sent);
+        count(state.counted, counter::control_bytes_sent, bytes.size());
+    }
 }
 
 /// Tells the next peers in turn.
-void receive_one(peers_state& state, context&, own_report const& own)
+void receive_one(peers_state& state, context&, own_report own)
 {
-    if (!state.socket || state.order.empty())
+    if (!state.socket || state.peers.empty())
         return;
     decisions::peer_beat beat{.from = state.options.self,
+                              .domain = state.options.domain,
                               .started = state.options.started,
                               .sequence = ++state.sequence,
                               .rules_changed = state.own_changes.rules,
@@ -128,17 +143,11 @@
     }
     std::erase_if(state.suspects,
                   [](told_suspect const& s) { return s.beats_left <= 0; });
-    for (auto const& load : own.loads)
-        beat.loads.push_back({load.server_hash, load.in_flight});
-    auto const bytes = wire::encode_beat(beat);
-    auto const told = std::min(state.options.fan_out, state.order.size());
-    for (std::size_t i = 0; i < told; ++i)
-    {
-        auto const& id = state.order[state.next++ % state.order.size()];
-        net::send(*state.socket, state.peers.at(id).heartbeat, bytes);
-        count(state.counted, counter::heartbeats_sent);
-        count(state.counted, counter::control_bytes_sent, bytes.size());
-    }
+    auto const round = take_round(state.order, state.options.order);
+    beat.loads = std::move(own.own);
+    send_beat(state, round.own_domain, beat);
+    beat.loads = std::move(own.domain);
+    send_beat(state, round.elsewhere, beat);
 }
 
 void receive_one(peers_state& state, context&, changes_known const& own)
@@ -181,6 +190,8 @@
     state.self = ctx.self;
     state.clock = ctx.clock;
     connect(state.counted, *ctx.names);
+    decisions::stagger(state.order, mix(name_hash(state.options.self.value),
+                                        state.options.seed));
     state.routing =
         ctx.names->find<routing_message>(to_name(service_name::routing));
     state.store = ctx.names->find<store_message>(to_name(service_name::store));
@@ -198,7 +209,9 @@
 
 void receive(peers_state& state, context& ctx, peers_message message)
 {
-    std::visit([&](auto const& m) { receive_one(state, ctx, m); }, message);
+    std::visit([&](auto&& m)
+               { receive_one(state, ctx, std::forward<decltype(m)>(m)); },
+               std::move(message));
 }
 
 void stop(peers_state& state, context&)
--- a/source/services/peers/peers_service.hpp
+++ b/source/services/peers/peers_service.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "decisions/peer_beat.hpp"
+#include "decisions/shared_loads.hpp"
 #include "kernel/service.hpp"
 #include "net/udp.hpp"
 #include "services/messages/peers.hpp"
@@ -22,20 +23,23 @@
 {
     net::loop_ptr loop;
     router_id self;
+    domain_id domain;
     incarnation started = 0;
     endpoint listen; ///< UDP.
     std::uint64_t seed = 0;
-    /// Routers that one beat goes to; more are told in turn.
-    std::size_t fan_out = 12;
+    decisions::beat_order_options order;
     /// A router that is not listed any more counts for this long after its
-    /// last beat: limits shared by all must not be split among too few.
-    duration absent_after = std::chrono::seconds{12};
+    /// last beat: limits shared by all must not be split among too few. Peers
+    /// of other domains are heard seldom; the list, read twice in this time,
+    /// names them.
+    duration absent_after = std::chrono::seconds{30};
 };
 
 /// Another router.
 struct peer
 {
     endpoint heartbeat;
+    domain_id domain;
     bool listed = false;
     time_point seen{}; ///< Last listed or heard.
     incarnation started = 0;
@@ -54,10 +58,9 @@
     peers_options options;
     net::datagram_socket* socket = nullptr;
     std::map<router_id, peer> peers;
-    std::vector<router_id> order; ///< In which they are told.
-    std::size_t next = 0;
+    decisions::beat_order order; ///< In which they are told.
     std::uint64_t sequence = 0;
-    std::uint32_t told_size = 0;
+    std::vector<router_id> told_fleet;
     /// Told in some beats, since datagrams get lost.
     std::vector<told_suspect> suspects;
     changes_known own_changes;  ///< Of this router.
--- a/source/services/routing/routing_service.cpp
+++ b/source/services/routing/routing_service.cpp
@@ -137,10 +137,10 @@
 /// Of routers that admit requests themselves; here owners do.
 template <class Message>
 requires std::same_as<Message, deployment_changed> ||
-    std::same_as<Message, attempt_event> ||
-    std::same_as<Message, peer_report> || std::same_as<Message, peer_suspect> ||
+    std::same_as<Message, attempt_event> || std::same_as<Message, peer_told> ||
+    std::same_as<Message, peer_suspect> ||
     std::same_as<Message, shared_limits_changed> ||
-    std::same_as<Message, fleet_size>
+    std::same_as<Message, fleet_changed>
 void handle(routing_state&, routing_context&, Message const&) {}
 
 void receive_routing(routing_state& state, routing_context& ctx,
--- a/source/wire/peer_beats.cpp
+++ b/source/wire/peer_beats.cpp
@@ -20,8 +20,9 @@
 template <class Archive>
 void serialize(Archive& archive, peer_beat& beat)
 {
-    archive(beat.from, beat.started, beat.sequence, beat.rules_changed,
-            beat.servers_changed, beat.loads, beat.suspects);
+    archive(beat.from, beat.domain, beat.started, beat.sequence,
+            beat.rules_changed, beat.servers_changed, beat.loads,
+            beat.suspects);
 }
 
 } // namespace bramleyarch::decisions
--- a/tests/unit/decisions/server_choice_test.cpp
+++ b/tests/unit/decisions/server_choice_test.cpp
@@ -144,10 +144,56 @@
         choose(all, mean_of(all), shared_prompt{5}, {}, 0)->index;
     all[first].load = all[first].slots;
     BOOST_TEST(
-        choose(all, mean_of(all), shared_prompt{5}, {.spill_factor = 100}, 0)
+        choose(all, mean_of(all), shared_prompt{5}, {.limit_factor = 100}, 0)
             ->index != first);
 }
 
+// Load pattern: a domain is taken out, so that the rest of the servers have far
+// more than the mean of all, and routers know of each other's requests late.
+BOOST_AUTO_TEST_CASE(servers_stay_within_the_limit_while_a_domain_is_taken_out)
+{
+    constexpr std::size_t listed = 60;
+    constexpr std::size_t running_at_once = 600;
+    constexpr std::size_t told_after = 40; // Requests of about 0.15 s.
+    std::mt19937_64 random{5};
+    auto all = servers(listed);
+    // Those of the third domain get nothing.
+    all.resize(listed * 2 / 3);
+    auto told = all;
+    std::vector<std::size_t> running;
+    int over = 0;
+    constexpr int requests = 12'000;
+    for (int i = 0; i < requests; ++i)
+    {
+        auto const mean = static_cast<double>(running.size()) / listed;
+        shared_prompt const prompt{1 + random() % 700,
+                                   random() % 4 == 0 ? 10'000U : 700U};
+        auto const index = choose(told, mean, prompt, {}, random())->index;
+        over += all[index].load > 2 * mean + 3 ? 1 : 0;
+        all[index].load += 1;
+        running.push_back(index);
+        if (running.size() > running_at_once)
+        {
+            auto const ended = random() % running.size();
+            all[running[ended]].load -= 1;
+            running[ended] = running.back();
+            running.pop_back();
+        }
+        if (i % told_after == 0)
+            told = all;
+    }
+    BOOST_TEST(over * 100 <= 3 * requests, over << " of " << requests);
+}
+
+BOOST_AUTO_TEST_CASE(the_own_domain_is_preferred_only_up_to_the_bound)
+{
+    auto all = servers(3);
+    all[0].load = 9; // The only one of the own domain.
+    BOOST_TEST(choose(all, 3, std::nullopt, {}, 0)->index != 0U);
+    BOOST_TEST(
+        choose(all, 3, shared_prompt{5}, {.limit_slack = -9}, 0)->index != 0U);
+}
+
 BOOST_AUTO_TEST_CASE(no_server_gives_no_choice)
 {
     BOOST_TEST(!choose({}, 0, shared_prompt{5}, {}, 0).has_value());
--- a/tests/unit/services/entry/entry_test.cpp
+++ b/tests/unit/services/entry/entry_test.cpp
@@ -422,7 +422,9 @@
 
 BOOST_AUTO_TEST_CASE(what_peers_have_in_flight_counts_as_load)
 {
-    send(entry, peer_report{{"r2"}, {{name_hash("s1"), 6}}});
+    send(entry, peer_told{{.from = {"r2"},
+                           .domain = {"a"},
+                           .loads = {{name_hash("s1"), 6}}}});
     k.run_until_idle();
     submit(safe);
     BOOST_TEST(backend->sent.back().server.value == "s2");
--- a/tests/unit/services/peers/peers_service_test.cpp
+++ b/tests/unit/services/peers/peers_service_test.cpp
@@ -74,8 +74,11 @@
             .name = std::string{to_name(service_name::store)},
             .state = store,
             .receive = record});
-        peers = k.add(make_peers_service(
-            {.loop = loop, .self = {"r1"}, .started = 1, .listen = at}));
+        peers = k.add(make_peers_service({.loop = loop,
+                                          .self = {"r1"},
+                                          .domain = {"a"},
+                                          .started = 1,
+                                          .listen = at}));
         k.start();
     }
 
@@ -101,11 +104,11 @@
 
     std::uint32_t fleet() const
     {
-        std::uint32_t routers = 0;
+        std::uint32_t routers = 1;
         for (auto const& message : *routing.seen)
         {
-            if (auto const* size = std::get_if<fleet_size>(&message))
-                routers = size->routers;
+            if (auto const* fleet = std::get_if<fleet_changed>(&message))
+                routers = static_cast<std::uint32_t>(fleet->others.size() + 1);
         }
         return routers;
     }
@@ -120,11 +123,32 @@
     tell({.from = {"r2"}, .started = 5, .sequence = 1, .loads = {{11, 3}}});
     run_until([this] { return fleet() == 2; });
     // It is told in turn, at the address that its beat came from.
-    send(peers, own_report{{{.server_hash = 12, .in_flight = 1}}});
+    send(peers, own_report{.own = {{12, 1}}, .domain = {{12, 5}}});
     run_until([this] { return !heard.empty(); });
     BOOST_TEST(heard.front().from.value == "r1");
 }
 
+BOOST_AUTO_TEST_CASE(other_domains_are_told_of_the_whole_domain)
+{
+    for (std::string const domain : {"a", "b"})
+    {
+        heard.clear();
+        tell({.from = {"r-" + domain},
+              .domain = {domain},
+              .started = 5,
+              .sequence = 1});
+        auto const before = fleet();
+        run_until([&] { return fleet() == before + 1; });
+        send(peers, own_report{.own = {{12, 1}}, .domain = {{12, 5}}});
+        // Both routers of this test have one address.
+        auto const peers_known = before;
+        run_until([&] { return heard.size() == peers_known; });
+        BOOST_REQUIRE(heard.back().loads.size() == 1U);
+        BOOST_TEST(heard.back().loads.front().in_flight ==
+                   (domain == "a" ? 1U : 5U));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(own_beats_that_come_back_are_ignored)
 {
     tell({.from = {"r1"}, .started = 5, .sequence = 1});
--- a/tests/unit/wire/peer_beats_test.cpp
+++ b/tests/unit/wire/peer_beats_test.cpp
@@ -12,6 +12,7 @@
 {
 
 decisions::peer_beat const sample{.from = {"r1"},
+                                  .domain = {"a"},
                                   .started = 7,
                                   .sequence = 9,
                                   .rules_changed = 31,
@@ -29,6 +30,7 @@
     BOOST_REQUIRE(read.has_value());
     auto const& beat = read.value();
     BOOST_TEST(beat.from.value == "r1");
+    BOOST_TEST(beat.domain.value == "a");
     BOOST_TEST(beat.started == 7U);
     BOOST_TEST(beat.sequence == 9U);
     BOOST_TEST(beat.rules_changed == 31U);
