--- a/tests/unit/services/entry/entry_test.cpp
+++ b/tests/unit/services/entry/entry_test.cpp
@@ -420,6 +420,62 @@
     BOOST_TEST(repeats <= 0.2 * 200 + 50);
 }
 
+BOOST_AUTO_TEST_CASE(a_prompt_that_went_elsewhere_is_copied_from_its_server)
+{
+    request_terms const terms{.streaming = true,
+                              .prompt = {{5, 9000}, {6, 300}}};
+    submit(safe, 2, terms);
+    auto const home = backend->sent.back().server;
+    BOOST_TEST(find_header(backend->sent.back().headers, "copy").empty());
+    // Its server is over its part of the load, so that the prompt spills.
+    send(entry, peer_told{{.from = {"r2"},
+                           .domain = {"a"},
+                           .loads = {{name_hash(home.value), 60}}}});
+    k.run_until_idle();
+    submit(safe, 2, terms);
+    BOOST_REQUIRE((backend->sent.back().server != home));
+    BOOST_TEST(!find_header(backend->sent.back().headers, "copy").empty());
+}
+
+// Suspects reach routers that the first router's beats do not.
+BOOST_AUTO_TEST_CASE(a_suspect_that_is_news_is_told_on_once)
+{
+    for (int i = 0; i < 3; ++i)
+        send(entry, peer_suspect{.fingerprint = 7, .server_hash = 8});
+    k.run_until_idle();
+    auto const told =
+        std::count_if(peers->begin(), peers->end(),
+                      [](peers_message const& message)
+                      { return std::holds_alternative<own_suspect>(message); });
+    BOOST_TEST(told == 1);
+}
+
+BOOST_AUTO_TEST_CASE(other_domains_hear_the_sum_of_the_own_one)
+{
+    submit(safe);
+    send(entry, peer_told{{.from = {"r2"},
+                           .domain = {"a"},
+                           .loads = {{name_hash("s1"), 6}}}});
+    send(entry, peer_told{{.from = {"r9"},
+                           .domain = {"b"},
+                           .loads = {{name_hash("s1"), 50}}}});
+    k.advance(300ms);
+    own_report last_report;
+    for (auto const& message : *peers)
+    {
+        if (auto const* report = std::get_if<own_report>(&message))
+            last_report = *report;
+    }
+    std::uint32_t own = 0;
+    for (auto const& load : last_report.own)
+        own += load.in_flight;
+    std::uint32_t of_domain = 0;
+    for (auto const& load : last_report.domain)
+        of_domain += load.in_flight;
+    BOOST_TEST(own == 1U);
+    BOOST_TEST(of_domain == 7U);
+}
+
 BOOST_AUTO_TEST_CASE(what_peers_have_in_flight_counts_as_load)
 {
     send(entry, peer_told{{.from = {"r2"},
