--- a/tests/unit/services/entry/bench.hpp
+++ b/tests/unit/services/entry/bench.hpp
@@ -2,6 +2,8 @@
 /// a stepped kernel with a paused clock.
 #pragma once
 
+#include "../recorder.hpp"
+
 #include "common/digest.hpp"
 #include "kernel/kernel.hpp"
 #include "services/entry/entry_service.hpp"
@@ -42,18 +44,6 @@
         state.seen->probed.push_back(probe->server);
 }
 
-/// What the peers service was told, in order.
-struct fake_peers_state
-{
-    std::shared_ptr<std::vector<peers_message>> seen;
-};
-
-inline void keep_told(fake_peers_state& state, kernel::context<peers_message>&,
-                      peers_message message)
-{
-    state.seen->push_back(std::move(message));
-}
-
 /// Headers that name the server, the time left and the event to go on after.
 inline std::vector<header_field>
 test_headers(routed_request const&, config::listed_server const& server,
@@ -92,7 +82,7 @@
     kernel::kernel k{kernel::run_mode::stepped};
     std::shared_ptr<fake_backend> backend = std::make_shared<fake_backend>();
     std::shared_ptr<std::vector<peers_message>> peers =
-        std::make_shared<std::vector<peers_message>>();
+        add_recorder<peers_message>(k, service_name::peers);
     kernel::address<routing_message> entry;
     std::vector<std::unique_ptr<caller>> callers;
     config::deployment known;
@@ -103,10 +93,6 @@
             .name = std::string{to_name(service_name::backend)},
             .state = {backend},
             .receive = keep});
-        k.add(kernel::service<fake_peers_state, peers_message>{
-            .name = std::string{to_name(service_name::peers)},
-            .state = {peers},
-            .receive = keep_told});
         options.self = {"r1"};
         options.domain = {"a"};
         options.dialect = {.attempt_headers = test_headers,
--- a/tests/unit/services/entry/entry_test.cpp
+++ b/tests/unit/services/entry/entry_test.cpp
@@ -443,11 +443,7 @@
     for (int i = 0; i < 3; ++i)
         send(entry, peer_suspect{.fingerprint = 7, .server_hash = 8});
     k.run_until_idle();
-    auto const told =
-        std::count_if(peers->begin(), peers->end(),
-                      [](peers_message const& message)
-                      { return std::holds_alternative<own_suspect>(message); });
-    BOOST_TEST(told == 1);
+    BOOST_TEST(received<own_suspect>(*peers).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(other_domains_hear_the_sum_of_the_own_one)
@@ -460,12 +456,7 @@
                            .domain = {"b"},
                            .loads = {{name_hash("s1"), 50}}}});
     k.advance(300ms);
-    own_report last_report;
-    for (auto const& message : *peers)
-    {
-        if (auto const* report = std::get_if<own_report>(&message))
-            last_report = *report;
-    }
+    auto const last_report = received<own_report>(*peers).back();
     std::uint32_t own = 0;
     for (auto const& load : last_report.own)
         own += load.in_flight;
--- a/tests/unit/services/peers/peers_service_test.cpp
+++ b/tests/unit/services/peers/peers_service_test.cpp
@@ -1,4 +1,6 @@
 /// Tests of what routers tell each other, over sockets on loopback.
+#include "../recorder.hpp"
+
 #include "kernel/kernel.hpp"
 #include "net/loop.hpp"
 #include "services/messages/names.hpp"
@@ -15,25 +17,12 @@
 
 using namespace bramleyarch;
 using namespace bramleyarch::services;
+using namespace bramleyarch::test;
 using namespace std::chrono_literals;
 
 namespace
 {
 
-template <class Message>
-struct recorder
-{
-    std::shared_ptr<std::vector<Message>> seen =
-        std::make_shared<std::vector<Message>>();
-};
-
-template <class Message>
-void record(recorder<Message>& state, kernel::context<Message>&,
-            Message message)
-{
-    state.seen->push_back(std::move(message));
-}
-
 /// A peers service and a socket of another router.
 struct peers_bench
 {
@@ -41,8 +30,10 @@
     kernel::kernel k{kernel::run_mode::one_loop,
                      {.wait = [this](duration limit)
                       { net::wait(*loop, std::min<duration>(limit, 2ms)); }}};
-    recorder<routing_message> routing;
-    recorder<store_message> store;
+    std::shared_ptr<std::vector<routing_message>> routing =
+        add_recorder<routing_message>(k, service_name::routing);
+    std::shared_ptr<std::vector<store_message>> store =
+        add_recorder<store_message>(k, service_name::store);
     std::vector<decisions::peer_beat> heard;
     net::datagram_socket* other = nullptr;
     endpoint at{"127.0.0.1", 0};
@@ -66,14 +57,6 @@
         at.port = net::port_of(*probe);
         net::close(*probe);
         net::wait(*loop, 1ms); // It is closed at the end of a turn.
-        k.add(kernel::service<recorder<routing_message>, routing_message>{
-            .name = std::string{to_name(service_name::routing)},
-            .state = routing,
-            .receive = record});
-        k.add(kernel::service<recorder<store_message>, store_message>{
-            .name = std::string{to_name(service_name::store)},
-            .state = store,
-            .receive = record});
         peers = k.add(make_peers_service({.loop = loop,
                                           .self = {"r1"},
                                           .domain = {"a"},
@@ -102,15 +85,10 @@
         BOOST_REQUIRE(done());
     }
 
-    std::uint32_t fleet() const
+    std::size_t fleet() const
     {
-        std::uint32_t routers = 1;
-        for (auto const& message : *routing.seen)
-        {
-            if (auto const* fleet = std::get_if<fleet_changed>(&message))
-                routers = static_cast<std::uint32_t>(fleet->others.size() + 1);
-        }
-        return routers;
+        auto const told = received<fleet_changed>(*routing);
+        return told.empty() ? 1 : told.back().others.size() + 1;
     }
 };
 
@@ -165,11 +143,8 @@
     auto const told = [this]
     {
         std::vector<revision> revisions;
-        for (auto const& message : *store.seen)
-        {
-            if (auto const* changes = std::get_if<peer_changes>(&message))
-                revisions.push_back(changes->known.servers);
-        }
+        for (auto const& changes : received<peer_changes>(*store))
+            revisions.push_back(changes.known.servers);
         return revisions;
     };
     run_until([&] { return !told().empty() && told().back() == 11; });
--- a/tests/unit/services/store/store_bench.hpp
+++ b/tests/unit/services/store/store_bench.hpp
@@ -2,6 +2,8 @@
 /// services, on a stepped kernel with a paused clock.
 #pragma once
 
+#include "../recorder.hpp"
+
 #include "kernel/kernel.hpp"
 #include "services/messages/names.hpp"
 #include "services/store/store_service.hpp"
@@ -89,41 +91,21 @@
             .named_by = fake_record};
 }
 
-template <class Message>
-struct recorder
-{
-    std::shared_ptr<std::vector<Message>> seen =
-        std::make_shared<std::vector<Message>>();
-};
-
-template <class Message>
-void record(recorder<Message>& state, kernel::context<Message>&,
-            Message message)
-{
-    state.seen->push_back(std::move(message));
-}
-
 struct store_bench
 {
     kernel::kernel k{kernel::run_mode::stepped};
     std::vector<http::client_request> calls; ///< All that were made.
     std::vector<std::uint64_t> closed;
     std::function<void(http::client_event)> deliver;
-    recorder<peers_message> peers;
-    recorder<routing_message> routing;
+    std::shared_ptr<std::vector<peers_message>> peers =
+        add_recorder<peers_message>(k, service_name::peers);
+    std::shared_ptr<std::vector<routing_message>> routing =
+        add_recorder<routing_message>(k, service_name::routing);
     kernel::address<store_message> store;
 
     store_bench()
     {
         prepared_answers().clear();
-        k.add(kernel::service<recorder<peers_message>, peers_message>{
-            .name = std::string{to_name(service_name::peers)},
-            .state = peers,
-            .receive = record});
-        k.add(kernel::service<recorder<routing_message>, routing_message>{
-            .name = std::string{to_name(service_name::routing)},
-            .state = routing,
-            .receive = record});
         store = k.add(make_store_service(
             {.codec = fake_codec(),
              .self = {{"r1"}, {"10.0.0.1", 7340}},
@@ -205,25 +187,16 @@
     /// Servers of the last deployment that was published.
     std::size_t servers() const
     {
-        std::size_t known = 0;
-        for (auto const& message : *routing.seen)
-        {
-            if (auto const* d = std::get_if<deployment_changed>(&message))
-                known = d->deployment->servers.size();
-        }
-        return known;
+        auto const published = received<deployment_changed>(*routing);
+        return published.empty() ? 0
+                                 : published.back().deployment->servers.size();
     }
 
     /// Routers of the last list that was published.
     std::size_t routers() const
     {
-        std::size_t known = 0;
-        for (auto const& message : *peers.seen)
-        {
-            if (auto const* listed = std::get_if<routers_listed>(&message))
-                known = listed->routers.size();
-        }
-        return known;
+        auto const published = received<routers_listed>(*peers);
+        return published.empty() ? 0 : published.back().routers.size();
     }
 };
 
--- a/tests/unit/services/store/store_service_test.cpp
+++ b/tests/unit/services/store/store_service_test.cpp
@@ -123,12 +123,7 @@
     settle();
     answer("watch servers",
            {.changes = {change("servers/i-3", 11)}, .as_of = 12});
-    changes_known told;
-    for (auto const& message : *peers.seen)
-    {
-        if (auto const* known = std::get_if<changes_known>(&message))
-            told = *known;
-    }
+    auto const told = received<changes_known>(*peers).back();
     BOOST_TEST(told.servers == 11U);
     BOOST_TEST(told.rules == 0U);
 }
