--- a/source/config/settings.cpp
+++ b/source/config/settings.cpp
@@ -49,7 +49,8 @@
     return fmt::format("[{}] {}", to_name(row.section), row.key);
 }
 
-/// Value in the file, if the key stands there.
+/// Value in the file, if the key stands there. Limits that hold for all routers
+/// come from a template: those that are not stated are left empty.
 std::optional<std::string> value_in_file(reading const& r,
                                          setting_row const& row)
 {
@@ -59,7 +60,10 @@
     auto const value = part->second.find(std::string{row.key});
     if (value == part->second.not_found())
         return std::nullopt;
-    return value->second.data();
+    auto const& text = value->second.data();
+    if (text.empty() && row.section == section::shared)
+        return std::nullopt;
+    return text;
 }
 
 void parse_tree(reading& r)
--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -71,6 +71,17 @@
     BOOST_TEST((s.level == log_level::info));
 }
 
+BOOST_AUTO_TEST_CASE(shared_limits_that_are_left_empty_keep_their_defaults)
+{
+    auto const parsed = parse_settings(
+        valid + "[shared]\nload_factor =\nretry_slack = 0\n", "r1.ini");
+    BOOST_TEST_REQUIRE(describe(parsed.faults) == "");
+    BOOST_TEST(parsed.value.shared.load_factor == 2);
+    BOOST_TEST(parsed.value.shared.retry_slack == 0U);
+    // Elsewhere an empty number is a fault.
+    BOOST_TEST(!faults_of(valid + "[limits]\nmax_connections =\n").empty());
+}
+
 BOOST_AUTO_TEST_CASE(every_default_is_valid)
 {
     for (auto const& row : setting_rows())
