--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -123,7 +123,6 @@
     entry_options options;
     std::shared_ptr<config::deployment const> deployment;
     std::map<server_id, server_view> servers;
-    std::unordered_map<std::uint64_t, server_view*> by_hash;
     std::unordered_map<request_id, entry_request> requests;
     std::map<service_id, decisions::retry_share> retries;
     std::map<service_id, decisions::prompt_heat> heats;
--- a/source/services/entry/servers.cpp
+++ b/source/services/entry/servers.cpp
@@ -45,9 +45,6 @@
             view.cold_until = at + server.cold_left;
         view.listed = server;
     }
-    state.by_hash.clear();
-    for (auto& [id, view] : state.servers)
-        state.by_hash[view.hash] = &view;
 }
 
 std::uint32_t peers_at(entry_state const& state, server_view const& server)
--- a/source/services/peers/peers_service.cpp
+++ b/source/services/peers/peers_service.cpp
@@ -22,6 +22,10 @@
 /// where some in a hundred datagrams are lost.
 constexpr int beats_per_suspect = 4;
 
+/// Peers that are known at most, three times the largest fleet planned: beats
+/// name their senders themselves.
+constexpr std::size_t max_peers = 1000;
+
 /// Tells the routing service of the other routers when they change.
 void rebuild_order(peers_state& state)
 {
@@ -73,18 +77,20 @@
 }
 
 /// The peer of a beat. One that no list named yet has started since the last
-/// one was read.
-peer& peer_of(peers_state& state, decisions::peer_beat const& beat,
+/// one was read. Null when too many are known.
+peer* peer_of(peers_state& state, decisions::peer_beat const& beat,
               endpoint const& from)
 {
     auto const found = state.peers.find(beat.from);
     if (found != state.peers.end())
-        return found->second;
+        return &found->second;
+    if (state.peers.size() >= max_peers)
+        return nullptr;
     auto& added = state.peers[beat.from];
     added.heartbeat = from;
     added.domain = beat.domain;
     rebuild_order(state);
-    return added;
+    return &added;
 }
 
 void take_beat(peers_state& state, endpoint const& from, std::string_view bytes)
@@ -99,7 +105,13 @@
     auto& beat = decoded.value();
     if (beat.from == state.options.self)
         return;
-    auto& p = peer_of(state, beat, from);
+    auto* const known = peer_of(state, beat, from);
+    if (!known)
+    {
+        count(state.counted, counter::heartbeats_malformed);
+        return;
+    }
+    auto& p = *known;
     if (beat.started < p.started ||
         (beat.started == p.started && beat.sequence <= p.sequence))
         return;
--- a/tests/unit/services/peers/peers_service_test.cpp
+++ b/tests/unit/services/peers/peers_service_test.cpp
@@ -135,6 +135,20 @@
     BOOST_TEST(fleet() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(beats_with_made_up_names_fill_no_memory)
+{
+    constexpr int names = 1'200;
+    for (int i = 0; i < names; ++i)
+    {
+        tell({.from = {"x" + std::to_string(i)}, .started = 5, .sequence = 1});
+        net::wait(*loop, 0ms);
+    }
+    run_until([this] { return fleet() >= 1'000; });
+    tell({.from = {"x0"}, .started = 5, .sequence = 2, .servers_changed = 3});
+    run_until([this] { return !received<peer_changes>(*store).empty(); });
+    BOOST_TEST(fleet() == 1'001U);
+}
+
 BOOST_AUTO_TEST_CASE(changes_that_peers_know_reach_the_store_service_once)
 {
     tell({.from = {"r2"}, .started = 5, .sequence = 1, .servers_changed = 9});
