Make the tests of known loads and of the bound able to fail

The tolerance of known loads, 40 of 160 either way, came from no target; it is a fifth missing now, which is what the bound keeps back, and nothing too much.

One function runs a kernel until a condition holds, where two tests had it.

--- a/tests/unit/decisions/server_choice_test.cpp
+++ b/tests/unit/decisions/server_choice_test.cpp
@@ -35,6 +35,45 @@
            static_cast<double>(all.size());
 }
 
+/// Part of the requests that reach a server above the limit while a third of 60
+/// servers is taken out, at 300 requests a second that last two seconds each.
+/// Routers know the loads of half a second ago.
+double over_limit_without_a_domain(choice_options const& options)
+{
+    constexpr std::size_t listed = 60;
+    constexpr std::size_t running_at_once = 600;
+    constexpr int told_after = 150;
+    constexpr int requests = 12'000;
+    std::mt19937_64 random{5};
+    auto all = servers(listed);
+    all.resize(listed * 2 / 3);
+    auto told = all;
+    std::vector<std::size_t> running;
+    int over = 0;
+    for (int i = 0; i < requests; ++i)
+    {
+        auto const mean = static_cast<double>(running.size()) / listed;
+        shared_prompt const prompt{1 + random() % 700, 10'000};
+        auto const index = choose(told, mean, prompt, options, random())->index;
+        over +=
+            all[index].load > options.limit_factor * mean + options.limit_slack
+                ? 1
+                : 0;
+        all[index].load += 1;
+        running.push_back(index);
+        if (running.size() > running_at_once)
+        {
+            auto const ended = random() % running.size();
+            all[running[ended]].load -= 1;
+            running[ended] = running.back();
+            running.pop_back();
+        }
+        if (i % told_after == 0)
+            told = all;
+    }
+    return static_cast<double>(over) / requests;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(server_choices)
@@ -150,39 +189,19 @@
 
 // Load pattern: a domain is taken out, so that the rest of the servers have far
 // more than the mean of all, and routers know of each other's requests late.
+// The deployment allows 3 in 100 above the limit.
 BOOST_AUTO_TEST_CASE(servers_stay_within_the_limit_while_a_domain_is_taken_out)
 {
-    constexpr std::size_t listed = 60;
-    constexpr std::size_t running_at_once = 600;
-    constexpr std::size_t told_after = 40; // Requests of about 0.15 s.
-    std::mt19937_64 random{5};
-    auto all = servers(listed);
-    // Those of the third domain get nothing.
-    all.resize(listed * 2 / 3);
-    auto told = all;
-    std::vector<std::size_t> running;
-    int over = 0;
-    constexpr int requests = 12'000;
-    for (int i = 0; i < requests; ++i)
-    {
-        auto const mean = static_cast<double>(running.size()) / listed;
-        shared_prompt const prompt{1 + random() % 700,
-                                   random() % 4 == 0 ? 10'000U : 700U};
-        auto const index = choose(told, mean, prompt, {}, random())->index;
-        over += all[index].load > 2 * mean + 3 ? 1 : 0;
-        all[index].load += 1;
-        running.push_back(index);
-        if (running.size() > running_at_once)
-        {
-            auto const ended = random() % running.size();
-            all[running[ended]].load -= 1;
-            running[ended] = running.back();
-            running.pop_back();
-        }
-        if (i % told_after == 0)
-            told = all;
-    }
-    BOOST_TEST(over * 100 <= 3 * requests, over << " of " << requests);
+    auto const kept_back = over_limit_without_a_domain({});
+    auto const up_to_limit = over_limit_without_a_domain({.used_part = 0.95});
+    // The baseline: rendezvous without a bound.
+    auto const unbounded = over_limit_without_a_domain({.used_part = 1'000});
+    BOOST_TEST_MESSAGE("over the limit: " << kept_back
+                                          << ", bound at 0.95: " << up_to_limit
+                                          << ", without bound: " << unbounded);
+    BOOST_TEST(kept_back <= 0.03);
+    BOOST_TEST(kept_back < up_to_limit);
+    BOOST_TEST(unbounded > 0.03);
 }
 
 BOOST_AUTO_TEST_CASE(the_own_domain_is_preferred_only_up_to_the_bound)
--- a/tests/unit/decisions/shared_loads_test.cpp
+++ b/tests/unit/decisions/shared_loads_test.cpp
@@ -154,14 +154,17 @@
 
 // Load pattern: one subject becomes hot, and 80 routers that each see a sliver
 // of it have to agree that its server is full, within the time for which what
-// was told counts.
+// was told counts. A fifth of it may be missing: so much of the limit is kept
+// back (`choice_options::used_part`).
 BOOST_AUTO_TEST_CASE(a_large_fleet_knows_a_sudden_load_within_the_limit)
 {
     auto fleet = fleet_of(5, 80);
     load_at_once(fleet);
     for (auto const& [id, n] : fleet)
-        BOOST_TEST(std::abs(static_cast<double>(sum_of(n)) - 160) <= 40,
-                   id.value << " knows of " << sum_of(n));
+        BOOST_TEST(sum_of(n) >= 128U, id.value << " knows of " << sum_of(n));
+    // No router counts a request twice.
+    for (auto const& [id, n] : fleet)
+        BOOST_TEST(sum_of(n) <= 160U, id.value << " knows of " << sum_of(n));
 }
 
 // Load pattern: all routers start at once, after a loss of power, and go
--- a/tests/unit/platform/whole_path_test.cpp
+++ b/tests/unit/platform/whole_path_test.cpp
@@ -1,5 +1,6 @@
 /// The whole path over the adapter: a router on one loop between callers that
 /// write any bytes and stand-ins of the platform's store and servers.
+#include "../services/run_until.hpp"
 #include "raw_caller.hpp"
 #include "standins.hpp"
 
@@ -113,10 +114,7 @@
     template <class Condition>
     void run_until(Condition done)
     {
-        auto const limit = std::chrono::steady_clock::now() + 20s;
-        k.run([&]
-              { return done() || std::chrono::steady_clock::now() > limit; });
-        BOOST_REQUIRE(done());
+        test::run_until(k, done);
     }
 
     std::string answer_to(std::string const& text)
--- a/tests/unit/services/peers/peers_service_test.cpp
+++ b/tests/unit/services/peers/peers_service_test.cpp
@@ -1,5 +1,6 @@
 /// Tests of what routers tell each other, over sockets on loopback.
 #include "../recorder.hpp"
+#include "../run_until.hpp"
 
 #include "kernel/kernel.hpp"
 #include "net/loop.hpp"
@@ -11,6 +12,7 @@
 
 #include <chrono>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -79,10 +81,7 @@
     template <class Condition>
     void run_until(Condition done)
     {
-        auto const limit = std::chrono::steady_clock::now() + 20s;
-        k.run([&]
-              { return done() || std::chrono::steady_clock::now() > limit; });
-        BOOST_REQUIRE(done());
+        test::run_until(k, done);
     }
 
     std::size_t fleet() const
@@ -135,6 +134,54 @@
     BOOST_TEST(fleet() == 2U);
 }
 
+// Load pattern: all routers start at once, after a loss of power. In step they
+// would tell the same few peers of other domains in each round.
+BOOST_AUTO_TEST_CASE(routers_that_start_together_tell_different_peers_first)
+{
+    constexpr int peers_elsewhere = 9;
+    std::set<std::set<std::uint16_t>> first_rounds;
+    for (std::string const name : {"n1", "n2", "n3", "n4", "n5", "n6"})
+    {
+        auto const own_loop = net::make_loop().value();
+        kernel::kernel own{
+            kernel::run_mode::one_loop, {.wait = [&](duration limit) {
+                net::wait(*own_loop, std::min<duration>(limit, 2ms));
+            }}};
+        std::set<std::uint16_t> told;
+        std::vector<net::datagram_socket*> others;
+        routers_listed listed;
+        for (int i = 0; i < peers_elsewhere; ++i)
+        {
+            auto* const socket =
+                net::open_datagrams(
+                    *own_loop, {"127.0.0.1", 0},
+                    [&told, i](endpoint const&, std::string_view)
+                    { told.insert(static_cast<std::uint16_t>(i)); })
+                    .value();
+            others.push_back(socket);
+            listed.routers.push_back({{"p" + std::to_string(i)},
+                                      {"127.0.0.1", net::port_of(*socket)},
+                                      {"b"}});
+        }
+        auto const to = own.add(make_peers_service({.loop = own_loop,
+                                                    .self = {name},
+                                                    .domain = {"a"},
+                                                    .started = 1,
+                                                    .listen = {"127.0.0.1", 0},
+                                                    .seed = 1}));
+        own.start();
+        send(to, listed);
+        send(to, own_report{.domain = {{12, 5}}});
+        auto const expected = decisions::beat_order_options{}.elsewhere;
+        test::run_until(own, [&] { return told.size() == expected; });
+        first_rounds.insert(told);
+        own.stop();
+        for (auto* const socket : others)
+            net::close(*socket);
+    }
+    BOOST_TEST(first_rounds.size() >= 3U);
+}
+
 BOOST_AUTO_TEST_CASE(beats_with_made_up_names_fill_no_memory)
 {
     constexpr int names = 1'200;
