--- a/tools/test.sh
+++ b/tools/test.sh
@@ -20,6 +20,8 @@
     echo "${red[*]}"
 ))\$"
 echo "known red, see KNOWN-RED.txt: ${red[*]}"
-ctest --test-dir build -R "$pattern" || echo "known red tests failed"
+# Their output is the trace of a failure that does not come again.
+ctest --test-dir build --output-on-failure -R "$pattern" ||
+    echo "known red tests failed"
 echo "all other tests:"
 run_tests -E "$pattern"
