--- a/source/http/client.hpp
+++ b/source/http/client.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -47,7 +48,8 @@
 {
     std::uint64_t id = 0;
     int status = 0;
-    std::vector<header_field> headers; ///< Lower-case names.
+    std::vector<header_field> headers;   ///< Lower-case names.
+    std::optional<std::uint64_t> length; ///< Stated length of the body.
 };
 
 struct response_bytes
--- a/source/http/client_io.cpp
+++ b/source/http/client_io.cpp
@@ -142,7 +142,8 @@
         return false;
     report(c, response_head{.id = s.request.id,
                             .status = head.status,
-                            .headers = std::move(headers)});
+                            .headers = std::move(headers),
+                            .length = head.length});
     return true;
 }
 
--- a/source/services/store/group_sync.cpp
+++ b/source/services/store/group_sync.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace bramleyarch::services
@@ -93,6 +95,32 @@
     advertise_revisions(state);
 }
 
+/// Returns the number of changes that a later change of the same batch
+/// overwrites.
+std::size_t count_superseded(record_batch const& batch)
+{
+    std::set<std::string_view> keys;
+    for (auto const& change : batch.changes)
+        keys.insert(change.key);
+    return batch.changes.size() - keys.size();
+}
+
+void log_read(store_state& state, group_sync const& sync,
+              pending_request const& response, record_batch const& batch)
+{
+    if (batch.changes.empty())
+        return;
+    auto const at = current_time(state);
+    log(state.telemetry_sink, log_severity::info, "store_read",
+        fmt::format("call={} group={} revision={} bytes={} changes={} "
+                    "superseded={} head_ms={} took_ms={}",
+                    to_name(sync.stage), to_name(sync.group), batch.as_of,
+                    response.body.size(), batch.changes.size(),
+                    count_superseded(batch),
+                    to_ms(response.head_received_at - sync.requested_at),
+                    to_ms(at - sync.requested_at)));
+}
+
 /// Makes the next request start a new list.
 void restart_list(group_sync& sync)
 {
@@ -311,6 +339,7 @@
         handle_sync_failure(state, sync, describe(batch.error()));
         return;
     }
+    log_read(state, sync, response, batch.value());
     bool const restarted = sync.suspected_dead;
     record_response(state, sync);
     if (listing)
--- a/source/services/store/store_service.cpp
+++ b/source/services/store/store_service.cpp
@@ -37,10 +37,11 @@
 
 void handle_event(store_state&, pending_request&, http::request_sent const&) {}
 
-void handle_event(store_state&, pending_request& request,
+void handle_event(store_state& state, pending_request& request,
                   http::response_head const& head)
 {
     request.status = head.status;
+    request.head_received_at = current_time(state);
 }
 
 void handle_event(store_state&, pending_request& request,
--- a/source/services/store/store_service.hpp
+++ b/source/services/store/store_service.hpp
@@ -122,7 +122,8 @@
 struct pending_request
 {
     std::uint64_t id = 0; ///< 0 if there is no request in flight.
-    int status = 0;
+    int status = 0;       ///< 0 until the head of the response has arrived.
+    time_point head_received_at{};
     std::string body;
 };
 
