Read the state of the store, not each change, when behind

Cause: a router that had missed versions read them all, in order. One is some 330 kB; the store returns four at once; over 10 Mbit/s these take 1.2 s or more, and the pause that bundles small changes was added to that. While versions were written faster than that, the router fell further behind: 26 routers that had been turned away by the store needed 18 s to be up to date.

Change: the response to a watch that is much larger than the records themselves is abandoned at its head, and the records are listed instead; the watch goes on from the list. What it costs to catch up follows from the size of the state, no longer from the number of changes. The pause counts from the head of the last response.

--- a/source/services/store/group_sync.cpp
+++ b/source/services/store/group_sync.cpp
@@ -127,6 +127,7 @@
     sync.synced_to = 0;
     sync.listed_keys.clear();
     sync.page_cursor.clear();
+    sync.listed_bytes = 0;
 }
 
 void schedule_request(group_sync& sync, time_point due)
@@ -170,6 +171,7 @@
         state.discovery.applied_revisions.erase(change.key);
     if (sync.group == record_group::routers)
         publish_routers(state);
+    sync.state_bytes = std::exchange(sync.listed_bytes, 0);
     sync.listed_keys.clear();
     sync.page_cursor.clear();
 }
@@ -202,10 +204,12 @@
     send_sync_request(state, sync);
 }
 
-/// Handles the response to a watch. `restarted` is true if the watch replaced
-/// one that failed or was suspected dead.
+/// Handles the response to a watch, whose head arrived at `head_received_at`.
+/// `restarted` is true if the watch replaced one that failed or was suspected
+/// dead.
 void handle_watch_response(store_state& state, group_sync& sync,
-                           record_batch const& batch, bool restarted)
+                           record_batch const& batch,
+                           time_point head_received_at, bool restarted)
 {
     apply_batch(state, sync, batch);
     sync.synced_to = std::max(sync.synced_to, batch.as_of);
@@ -213,10 +217,12 @@
     if (restarted)
         sync.newest_peer_revision =
             std::min(sync.newest_peer_revision, sync.synced_to);
-    if (batch.changes.empty())
+    // The response of a slow link has taken its own pause.
+    auto const due = head_received_at + state.options.watch_pause;
+    if (batch.changes.empty() || due <= current_time(state))
         send_sync_request(state, sync);
     else
-        schedule_request(sync, current_time(state) + state.options.watch_pause);
+        schedule_request(sync, due);
 }
 
 /// Replaces a watch that may be dead by a short one.
@@ -281,6 +287,23 @@
         wait + state.options.watch_timeout_margin);
 }
 
+void replace_long_watch(store_state& state, group_sync& sync,
+                        std::uint64_t bytes)
+{
+    if (sync.stage != sync_stage::watching || sync.request.status != status_ok ||
+        !decisions::should_read_state(bytes, sync.state_bytes,
+                                      state.options.catch_up))
+        return;
+    log(state.telemetry_sink, log_severity::info, "watch_replaced",
+        fmt::format("group={} revision={} bytes={} state_bytes={}",
+                    to_name(sync.group), sync.synced_to, bytes,
+                    sync.state_bytes));
+    state.transport.close(sync.request.id);
+    record_response(state, sync);
+    restart_list(sync);
+    send_sync_request(state, sync);
+}
+
 void handle_sync_failure(store_state& state, group_sync& sync,
                          std::string const& reason)
 {
@@ -343,9 +366,13 @@
     bool const restarted = sync.suspected_dead;
     record_response(state, sync);
     if (listing)
+    {
+        sync.listed_bytes += response.body.size();
         handle_list_page(state, sync, batch.value());
+    }
     else
-        handle_watch_response(state, sync, batch.value(), restarted);
+        handle_watch_response(state, sync, batch.value(),
+                              response.head_received_at, restarted);
 }
 
 void send_due_sync_requests(store_state& state)
--- a/source/services/store/store_parts.hpp
+++ b/source/services/store/store_parts.hpp
@@ -25,6 +25,11 @@
 /// Handles the complete response to the group's list or watch.
 void handle_sync_response(store_state& state, group_sync& sync);
 
+/// Requests the group's list instead of the watch in flight if the watch's
+/// response, of which `bytes` are known to come, is much larger.
+void replace_long_watch(store_state& state, group_sync& sync,
+                        std::uint64_t bytes);
+
 /// Schedules a retry of the group's failed list or watch. Several consecutive
 /// failures of a group mark the store as unavailable.
 void handle_sync_failure(store_state& state, group_sync& sync,
--- a/source/services/store/store_service.hpp
+++ b/source/services/store/store_service.hpp
@@ -2,6 +2,7 @@
 /// store up to date by list and watch, and keeps this router registered there.
 #pragma once
 
+#include "decisions/catch_up.hpp"
 #include "decisions/discovery.hpp"
 #include "http/client.hpp"
 #include "kernel/service.hpp"
@@ -55,8 +56,9 @@
     duration probe_watch_wait = std::chrono::milliseconds{500};
     /// Added to the wait of a watch to get the timeout of the request.
     duration watch_timeout_margin = std::chrono::milliseconds{900};
-    /// Delay between a watch that returned changes and the next watch, so that
-    /// changes in quick succession cost a single request.
+    decisions::catch_up_options catch_up;
+    /// Least time between the head of a watch's response with changes and the
+    /// next watch, so that changes in quick succession cost a single request.
     duration watch_pause = std::chrono::milliseconds{500};
     /// Time for which peers may advertise a newer change before this router
     /// restarts its watch. Covers the pause between watches and the response
@@ -152,6 +154,8 @@
     std::set<std::string> listed_keys; ///< Keys in the pages read so far.
     revision list_revision = 0;        ///< Revision of the list's first page.
     std::string page_cursor;           ///< The next page starts after this key.
+    std::uint64_t listed_bytes = 0;    ///< Size of the pages read so far.
+    std::uint64_t state_bytes = 0;     ///< Size of the last complete list.
 };
 
 struct store_state
--- a/tests/unit/services/store/store_fixture.hpp
+++ b/tests/unit/services/store/store_fixture.hpp
@@ -147,18 +147,30 @@
     }
 
     /// Delivers a complete response to the latest request whose target starts
-    /// with `prefix`.
-    void respond(std::string_view prefix, record_batch batch, int status = 200)
+    /// with `prefix`. Its body has at least `size` bytes.
+    void respond(std::string_view prefix, record_batch batch, int status = 200,
+                 std::size_t size = 0)
     {
         auto const id = last(prefix).id;
         decoded_responses().push_back(std::move(batch));
         deliver_event(http::response_head{.id = id, .status = status});
-        deliver_event(http::response_bytes{
-            id, std::to_string(decoded_responses().size() - 1)});
+        auto body = std::to_string(decoded_responses().size() - 1);
+        // The decoder stops at the first space.
+        body.resize(std::max(size, body.size()), ' ');
+        deliver_event(http::response_bytes{id, std::move(body)});
         deliver_event(http::response_end{id});
         runtime.run_until_idle();
     }
 
+    /// Delivers the head of a response to the latest request whose target
+    /// starts with `prefix`.
+    void begin_response(std::string_view prefix, std::uint64_t length)
+    {
+        deliver_event(http::response_head{
+            .id = last(prefix).id, .status = 200, .length = length});
+        runtime.run_until_idle();
+    }
+
     /// Lets the latest request whose target starts with `prefix` time out.
     void time_out(std::string_view prefix)
     {
--- a/tests/unit/services/store/store_service_test.cpp
+++ b/tests/unit/services/store/store_service_test.cpp
@@ -123,6 +123,69 @@
     BOOST_TEST(last("watch servers").target == "watch servers 15 10000");
 }
 
+// Guards against routers that refuse requests by an old configuration: one that
+// missed several large versions read them all, over a slow link, while newer
+// ones were written.
+BOOST_AUTO_TEST_CASE(a_router_that_is_behind_reads_the_state_not_each_change)
+{
+    constexpr std::size_t document = 400'000;
+    complete_start();
+    respond("watch rules", {}, 410);
+    respond("list rules", {.as_of = 15}, 200, document);
+    auto const watch = last("watch rules");
+    BOOST_TEST(watch.target == "watch rules 15 10000");
+
+    begin_response("watch rules", 4 * document);
+    BOOST_REQUIRE(closed.size() == 1U);
+    BOOST_TEST(closed.front() == watch.id);
+    BOOST_TEST(last("list rules").id > watch.id);
+    respond("list rules", {.as_of = 40}, 200, document);
+    BOOST_TEST(last("watch rules").target == "watch rules 40 10000");
+}
+
+BOOST_AUTO_TEST_CASE(a_long_watch_of_unstated_length_is_replaced)
+{
+    constexpr std::size_t document = 400'000;
+    complete_start();
+    respond("watch rules", {}, 410);
+    respond("list rules", {.as_of = 15}, 200, document);
+    auto const id = last("watch rules").id;
+    deliver_event(http::response_head{.id = id, .status = 200});
+    deliver_event(http::response_bytes{id, std::string(document, ' ')});
+    BOOST_TEST(closed.empty());
+    deliver_event(http::response_bytes{id, std::string(document, ' ')});
+    BOOST_TEST(closed.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_watch_with_one_version_is_read)
+{
+    constexpr std::size_t document = 400'000;
+    complete_start();
+    respond("watch rules", {}, 410);
+    respond("list rules", {.as_of = 15}, 200, document);
+    auto const lists = count("list rules");
+    respond("watch rules", {.changes = {change("rules/x", 16)}, .as_of = 16},
+            200, document + 1000);
+    BOOST_TEST(closed.empty());
+    BOOST_TEST(count("list rules") == lists);
+}
+
+// The pause saves requests while changes are cheap to read. Added to a long
+// transfer, it only delays the next version.
+BOOST_AUTO_TEST_CASE(a_long_transfer_is_not_followed_by_a_pause)
+{
+    complete_start();
+    auto const id = last("watch servers").id;
+    deliver_event(http::response_head{.id = id, .status = 200});
+    runtime.advance(800ms);
+    decoded_responses().push_back(
+        {.changes = {change("servers/i-3", 11)}, .as_of = 11});
+    deliver_event(http::response_bytes{
+        id, std::to_string(decoded_responses().size() - 1)});
+    deliver_event(http::response_end{id});
+    BOOST_TEST(last("watch servers").target == "watch servers 11 10000");
+}
+
 BOOST_AUTO_TEST_CASE(newest_change_is_advertised_to_peers)
 {
     complete_start();
