Keep a watch whose response is arriving

Peers that advertise a newer change, or a failed renewal of the lease, made a router replace its watch after 1 s even while a large response to it was arriving. A silent connection is told by its silence: a watch is kept as long as bytes of its response come.

Test: watch_whose_response_is_arriving_is_not_restarted; it failed before.

--- a/source/services/store/group_sync.cpp
+++ b/source/services/store/group_sync.cpp
@@ -225,11 +225,21 @@
         schedule_request(sync, due);
 }
 
-/// Replaces a watch that may be dead by a short one.
+/// Returns whether the response to the group's request is arriving.
+bool is_receiving(store_state const& state, group_sync const& sync)
+{
+    return sync.request.status != 0 &&
+           current_time(state) - sync.request.last_byte_at <
+               state.options.max_peer_lag;
+}
+
+/// Replaces a watch that may be dead by a short one. A watch whose response is
+/// arriving is alive, however long that takes.
 void restart_watch(store_state& state, group_sync& sync,
                    std::string_view reason)
 {
-    if (sync.stage != sync_stage::watching || sync.suspected_dead)
+    if (sync.stage != sync_stage::watching || sync.suspected_dead ||
+        is_receiving(state, sync))
         return;
     log(state.telemetry_sink, log_severity::info, "watch_doubted",
         fmt::format("group={} revision={} waited_ms={} reason=\"{}\"",
--- a/source/services/store/store_service.cpp
+++ b/source/services/store/store_service.cpp
@@ -42,6 +42,7 @@
 {
     request.status = head.status;
     request.head_received_at = current_time(state);
+    request.last_byte_at = request.head_received_at;
     if (auto* const sync = find_sync(state, head.id); sync && head.length)
         replace_long_watch(state, *sync, *head.length);
 }
@@ -50,6 +51,7 @@
                   http::response_bytes const& bytes)
 {
     request.body += bytes.bytes;
+    request.last_byte_at = current_time(state);
     if (auto* const sync = find_sync(state, bytes.id))
         replace_long_watch(state, *sync, request.body.size());
 }
--- a/source/services/store/store_service.hpp
+++ b/source/services/store/store_service.hpp
@@ -126,6 +126,7 @@
     std::uint64_t id = 0; ///< 0 if there is no request in flight.
     int status = 0;       ///< 0 until the head of the response has arrived.
     time_point head_received_at{};
+    time_point last_byte_at{}; ///< Of the response.
     std::string body;
 };
 
--- a/tests/unit/services/store/store_service_test.cpp
+++ b/tests/unit/services/store/store_service_test.cpp
@@ -66,6 +66,26 @@
     BOOST_TEST(closed.size() == 1U);
 }
 
+// Guards against reading a large response again and again: peers advertised
+// newer changes while it arrived over a slow link, so it was abandoned.
+BOOST_AUTO_TEST_CASE(watch_whose_response_is_arriving_is_not_restarted)
+{
+    complete_start();
+    auto const id = last("watch servers").id;
+    send(store, peer_revisions_received{{.rules = 0, .servers = 12}});
+    deliver_event(http::response_head{.id = id, .status = 200});
+    for (int i = 0; i < 6; ++i)
+    {
+        runtime.advance(500ms);
+        deliver_event(http::response_bytes{id, " "});
+    }
+    time_out("renew");
+    BOOST_TEST(std::count(closed.begin(), closed.end(), id) == 0);
+    // No byte for longer than peers may be ahead: the connection is dead.
+    runtime.advance(1500ms);
+    BOOST_TEST(std::count(closed.begin(), closed.end(), id) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(change_unknown_to_the_store_restarts_the_watch_once)
 {
     complete_start();
