Log how much of an answer a failed attempt brought, and of which prompt

A request that crashes its server has no byte of an answer; one that shared the server has some, or waits.

--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -34,6 +34,15 @@
     request.current_server = {};
 }
 
+/// Returns the ids of a prompt's parts, separated by commas.
+std::string prompt_text(std::vector<prompt_part> const& prompt)
+{
+    std::string text;
+    for (auto const& part : prompt)
+        text += fmt::format("{}{:x}", text.empty() ? "" : ",", part.id);
+    return text;
+}
+
 void forward_head(entry_state& state, entry_context& ctx,
                   entry_request& request)
 {
@@ -192,6 +201,7 @@
                   entry_request& request, backend_chunk chunk)
 {
     auto const size = chunk.bytes.size();
+    request.attempt_bytes += size;
     if (request.stage == request_stage::awaiting_answer &&
         !request.routed.terms.streaming)
     {
@@ -253,11 +263,14 @@
     }
     log(state.telemetry_sink, log_severity::info, "attempt_failed",
         fmt::format("request={} attempt={} server={} reason={} detail=\"{}\" "
-                    "sent={} kept_connection={} after_ms={}",
+                    "sent={} kept_connection={} after_ms={} answer_bytes={} "
+                    "prompt={}",
                     to_text(request.routed.id), request.attempt_number,
                     request.current_server.value, to_name(failed.cause.kind),
                     failed.cause.detail, failed.sent, failed.kept_connection,
-                    to_ms(at - request.attempt_started_at)));
+                    to_ms(at - request.attempt_started_at),
+                    request.attempt_bytes,
+                    prompt_text(request.routed.terms.prompt)));
     if (failed.kept_connection && !request.tried_servers.empty())
         request.tried_servers.pop_back();
     release_attempt(state, ctx, request);
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -130,6 +130,7 @@
     std::optional<backend_head> buffered_head;
     std::string buffered_body; ///< Body bytes that follow `buffered_head`.
     decisions::event_cursor cursor;
+    std::uint64_t attempt_bytes = 0; ///< Of the current attempt's answer.
     std::uint64_t forwarded_chunks = 0;
     std::uint64_t forwarded_bytes = 0;
     error last_failure{};
