--- a/source/services/store/group_sync.cpp
+++ b/source/services/store/group_sync.cpp
@@ -300,7 +300,8 @@
 void replace_long_watch(store_state& state, group_sync& sync,
                         std::uint64_t bytes)
 {
-    if (sync.stage != sync_stage::watching || sync.request.status != status_ok ||
+    if (sync.stage != sync_stage::watching ||
+        sync.request.status != status_ok ||
         !decisions::should_read_state(bytes, sync.state_bytes,
                                       state.options.catch_up))
         return;
--- a/tests/unit/decisions/catch_up_test.cpp
+++ b/tests/unit/decisions/catch_up_test.cpp
@@ -48,10 +48,9 @@
             continue;
         }
         auto const behind = newest - known;
-        bool const state =
-            model.may_read_state &&
-            should_read_state(behind * model.document_bytes,
-                              model.document_bytes, {});
+        bool const state = model.may_read_state &&
+                           should_read_state(behind * model.document_bytes,
+                                             model.document_bytes, {});
         // The store returns at most four versions at once.
         auto const versions = state ? 1 : std::min<std::uint64_t>(behind, 4);
         auto const answered = at;
