Refuse requests with a part of a prompt that crashes servers

Cause: requests that crash servers were told by the fingerprint of their method, target, team and body. Requests that have only a part of their prompt in common were never alike.

Change: decisions/crashing_parts judges each shared part of a prompt. A part is suspected when a server goes down before it has sent a byte of an answer to a request with it, and cleared by an answer; after three crashes requests with it are refused at once, and those that wait are ended. Crashes travel in heartbeats, with their age. Of parts that crashed the same servers only requests with all of them are refused, so that sound requests with some of them are served, and tell the parts apart.

--- a/source/decisions/peer_heartbeat.hpp
+++ b/source/decisions/peer_heartbeat.hpp
@@ -23,6 +23,15 @@
     std::uint64_t server = 0; ///< `name_hash` of the server's id.
 };
 
+/// A backend server that crashed before it answered a request, as in
+/// `prompt_crash`, with its age instead of its time: routers' clocks differ.
+struct aged_prompt_crash
+{
+    std::uint64_t server = 0;
+    std::uint32_t age_ms = 0; ///< When the heartbeat was sent.
+    std::vector<std::uint64_t> parts;
+};
+
 struct peer_heartbeat
 {
     router_id from;
@@ -37,6 +46,7 @@
     /// requests of all routers of the sender's domain.
     std::vector<server_request_count> loads;
     std::vector<suspect_body> suspects;
+    std::vector<aged_prompt_crash> prompt_crashes;
 };
 
 } // namespace bramleyarch::decisions
--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -34,6 +34,20 @@
     request.current_server = {};
 }
 
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// Records that a server answered the request's prompt, if it did.
+void record_proof(entry_state& state, entry_context& ctx,
+                  entry_request const& request)
+{
+    if (is_success(request.attempt_status))
+        decisions::record_prompt_answer(state.crashing_parts,
+                                        request.routed.terms.prompt, now(ctx));
+}
+
 /// Returns the ids of a prompt's parts, separated by commas.
 std::string prompt_text(std::vector<prompt_part> const& prompt)
 {
@@ -92,17 +106,13 @@
                     request.forwarded_bytes,
                     to_ms(at - request.routed.terms.received)));
     clear_crash_suspect(state, request);
+    record_proof(state, ctx, request);
     request.reply(answer_end{.attempt = answer_id(request),
                              .chunks = request.forwarded_chunks,
                              .bytes = request.forwarded_bytes});
     remove_request(state, ctx, request);
 }
 
-bool is_success(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 /// Returns whether a server error should be retried at another server instead
 /// of being forwarded.
 bool should_retry_error(entry_state& state, entry_request const& request,
@@ -168,6 +178,7 @@
         return;
     }
     request.may_have_run = true;
+    request.attempt_status = head.status;
     cancel(ctx, std::exchange(request.silence_timer, 0));
     if (server)
         record_server_answer(*server);
@@ -201,7 +212,11 @@
                   entry_request& request, backend_chunk chunk)
 {
     auto const size = chunk.bytes.size();
+    bool const was_proven =
+        request.attempt_bytes >= state.options.min_proof_bytes;
     request.attempt_bytes += size;
+    if (!was_proven && request.attempt_bytes >= state.options.min_proof_bytes)
+        record_proof(state, ctx, request);
     if (request.stage == request_stage::awaiting_answer &&
         !request.routed.terms.streaming)
     {
@@ -255,11 +270,18 @@
         request.may_have_run = true;
     // A kept connection that the server had closed meanwhile is no failure of
     // the server.
-    if (server && !failed.kept_connection)
+    bool const is_stale =
+        failed.kept_connection &&
+        at - request.attempt_started_at < state.options.max_stale_close_delay;
+    if (server && !is_stale)
     {
         record_server_failure(state, *server, at, to_name(failed.cause.kind));
         if (failed.sent && failed.cause.kind == error_kind::server_closed)
+        {
             record_crash_suspect(state, request, *server, at);
+            if (request.attempt_bytes == 0)
+                record_prompt_suspect(state, request, *server, at);
+        }
     }
     log(state.telemetry_sink, log_severity::info, "attempt_failed",
         fmt::format("request={} attempt={} server={} reason={} detail=\"{}\" "
@@ -271,7 +293,7 @@
                     to_ms(at - request.attempt_started_at),
                     request.attempt_bytes,
                     prompt_text(request.routed.terms.prompt)));
-    if (failed.kept_connection && !request.tried_servers.empty())
+    if (is_stale && !request.tried_servers.empty())
         request.tried_servers.pop_back();
     release_attempt(state, ctx, request);
     bool const is_forwarding =
@@ -284,6 +306,7 @@
     if (is_forwarding)
         count(state.telemetry_sink, counter::resumes);
     retry_or_fail(state, ctx, request, failed.cause);
+    end_refused_requests(state, ctx);
 }
 
 /// Does nothing: probe results belong to no attempt and are handled in
@@ -389,6 +412,23 @@
     remove_request(state, ctx, request);
 }
 
+void end_refused_requests(entry_state& state, entry_context& ctx)
+{
+    if (state.crashing_parts.suspects.empty())
+        return;
+    std::vector<request_id> refused;
+    for (auto const& [id, request] : state.requests)
+    {
+        if (request.attempt_bytes == 0 &&
+            request.stage == request_stage::awaiting_answer &&
+            decisions::should_refuse(state.crashing_parts,
+                                     request.routed.terms.prompt))
+            refused.push_back(id);
+    }
+    for (auto const& id : refused)
+        refuse_crashing_request(state, ctx, state.requests.at(id));
+}
+
 void remove_request(entry_state& state, entry_context& ctx,
                     entry_request& request)
 {
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -67,15 +67,29 @@
 std::uint64_t request_fingerprint(routed_request const& request);
 
 /// Returns whether the request is refused because too many servers crashed
-/// while it was in flight.
+/// while it, or requests that share a part of its prompt, were in flight.
 bool is_quarantined(entry_state const& state, entry_request const& request,
                     time_point at);
 
+/// Ends a request that is refused because servers crashed while it was in
+/// flight, and removes it.
+void refuse_crashing_request(entry_state& state, entry_context& ctx,
+                             entry_request& request);
+
 /// Records that the server may have crashed because of the request, and reports
 /// it to the other routers.
 void record_crash_suspect(entry_state& state, entry_request const& request,
                           backend_server const& server, time_point at);
 
+/// Records that a part of the request's prompt may have crashed the server, and
+/// reports it to the other routers.
+void record_prompt_suspect(entry_state& state, entry_request const& request,
+                           backend_server const& server, time_point at);
+
+/// Ends the requests in flight that are refused because of a part of their
+/// prompt, unless their answer has begun.
+void end_refused_requests(entry_state& state, entry_context& ctx);
+
 /// Clears the suspicion of a request that completed.
 void clear_crash_suspect(entry_state& state, entry_request const& request);
 
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -129,6 +129,17 @@
              gossip_suspect{suspect.fingerprint, suspect.server_hash});
 }
 
+/// Forwards a crash that was not known yet, as with suspects.
+void handle(entry_state& state, entry_context& ctx,
+            peer_prompt_crash_received const& received)
+{
+    if (!decisions::record_prompt_crash(state.crashing_parts, received.crash,
+                                        now(ctx)))
+        return;
+    send(state.peers_service, gossip_prompt_crash{received.crash});
+    end_refused_requests(state, ctx);
+}
+
 void handle(entry_state& state, entry_context&, fleet_changed message)
 {
     state.other_routers = std::move(message.others);
@@ -180,6 +191,9 @@
     if (++state.ticks % ticks_per_flush != 0)
         return;
     decisions::remove_expired_crashes(state.crashes, now(ctx));
+    decisions::remove_expired(state.crashing_parts, now(ctx));
+    for (auto& crash : decisions::crashes_to_repeat(state.crashing_parts))
+        send(state.peers_service, gossip_prompt_crash{std::move(crash)});
     flush(state.telemetry_sink);
 }
 
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "decisions/crash_history.hpp"
+#include "decisions/crashing_parts.hpp"
 #include "decisions/event_cursor.hpp"
 #include "decisions/fleet_share.hpp"
 #include "decisions/hot_prompt.hpp"
@@ -70,6 +71,9 @@
     /// Retry-After of a request that is refused because servers crashed while
     /// it was in flight.
     duration quarantine_retry_after = std::chrono::seconds{5};
+    /// Bytes of an answer after which the parts of its prompt are proven not to
+    /// crash servers; several events of a stream.
+    std::uint64_t min_proof_bytes = 256;
     /// Interval between reports of local loads to the other routers.
     duration report_interval = std::chrono::milliseconds{250};
     decisions::remote_loads_options remote_loads;
@@ -130,6 +134,7 @@
     std::optional<backend_head> buffered_head;
     std::string buffered_body; ///< Body bytes that follow `buffered_head`.
     decisions::event_cursor cursor;
+    int attempt_status = 0;          ///< Of the current attempt's answer.
     std::uint64_t attempt_bytes = 0; ///< Of the current attempt's answer.
     std::uint64_t forwarded_chunks = 0;
     std::uint64_t forwarded_bytes = 0;
@@ -148,6 +153,7 @@
     std::map<service_id, decisions::recent_prompts> recent_prompts;
     decisions::remote_loads remote_loads;
     decisions::crash_history crashes;
+    decisions::crashing_parts crashing_parts;
     std::vector<router_id> other_routers;
     kernel::address<backend_message> backend;
     kernel::address<peers_message> peers_service;
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -319,11 +319,7 @@
     }
     if (is_quarantined(state, request, at))
     {
-        count(state.telemetry_sink, counter::quarantines);
-        fail_request(state, ctx, request,
-                     {error_kind::quarantined,
-                      "request was in flight when several servers crashed"},
-                     state.options.quarantine_retry_after);
+        refuse_crashing_request(state, ctx, request);
         return;
     }
     if (request.attempt_number == 0)
@@ -349,6 +345,17 @@
                      *choice);
 }
 
+void refuse_crashing_request(entry_state& state, entry_context& ctx,
+                             entry_request& request)
+{
+    count(state.telemetry_sink, counter::quarantines);
+    fail_request(state, ctx, request,
+                 {error_kind::quarantined,
+                  "the request, or requests that share a part of its prompt, "
+                  "were in flight when several servers crashed"},
+                 state.options.quarantine_retry_after);
+}
+
 void abort_current_attempt(entry_state& state, entry_context& ctx,
                            entry_request& request)
 {
--- a/source/services/entry/servers.cpp
+++ b/source/services/entry/servers.cpp
@@ -105,6 +105,9 @@
 bool is_quarantined(entry_state const& state, entry_request const& request,
                     time_point at)
 {
+    if (decisions::should_refuse(state.crashing_parts,
+                                 request.routed.terms.prompt))
+        return true;
     return !state.crashes.requests.empty() &&
            decisions::should_refuse(state.crashes,
                                     request_fingerprint(request.routed), at);
@@ -126,6 +129,26 @@
                     state.crashes.requests.at(fingerprint).servers.size()));
 }
 
+void record_prompt_suspect(entry_state& state, entry_request const& request,
+                           backend_server const& server, time_point at)
+{
+    decisions::prompt_crash const crash{
+        .server = mix(server.hash, server.listed.born),
+        .at = at,
+        .parts = decisions::unproven_parts(state.crashing_parts,
+                                           request.routed.terms.prompt, at)};
+    if (!decisions::record_prompt_crash(state.crashing_parts, crash, at))
+        return;
+    count(state.telemetry_sink, counter::suspects_recorded);
+    send(state.peers_service, gossip_prompt_crash{crash});
+    for (auto const part : crash.parts)
+        log(state.telemetry_sink, log_severity::info, "prompt_suspected",
+            fmt::format("request={} part={:x} server={} crashes={}",
+                        to_text(request.routed.id), part,
+                        server.listed.id.value,
+                        state.crashing_parts.suspects.at(part).size()));
+}
+
 void clear_crash_suspect(entry_state& state, entry_request const& request)
 {
     if (!state.crashes.requests.empty())
--- a/source/services/messages/peers.hpp
+++ b/source/services/messages/peers.hpp
@@ -2,6 +2,7 @@
 /// that admit requests themselves.
 #pragma once
 
+#include "decisions/crashing_parts.hpp"
 #include "services/messages/routing.hpp"
 #include "services/messages/store.hpp"
 
@@ -31,6 +32,13 @@
     std::uint64_t server_hash = 0;
 };
 
+/// Gossips that a server crashed before it answered a request, because of one
+/// of these parts of its prompt.
+struct gossip_prompt_crash
+{
+    decisions::prompt_crash crash;
+};
+
 /// Delivered by the peers service's own timers.
 struct peers_tick
 {
@@ -38,6 +46,7 @@
 
 using peers_message =
     std::variant<routers_listed, known_revisions, local_load_report,
-                 gossip_suspect, drain_started, status_query, peers_tick>;
+                 gossip_suspect, gossip_prompt_crash, drain_started,
+                 status_query, peers_tick>;
 
 } // namespace bramleyarch::services
--- a/source/services/messages/routing.hpp
+++ b/source/services/messages/routing.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "config/settings.hpp"
+#include "decisions/crashing_parts.hpp"
 #include "decisions/peer_heartbeat.hpp"
 #include "services/messages/owner.hpp"
 
@@ -84,6 +85,13 @@
     std::uint64_t server_hash = 0;
 };
 
+/// Another router reported that a server crashed before it answered a request,
+/// because of one of these parts of its prompt.
+struct peer_prompt_crash_received
+{
+    decisions::prompt_crash crash;
+};
+
 /// A reload of the settings set the limits that apply to all routers together.
 struct shared_limits_changed
 {
@@ -103,6 +111,7 @@
                  drain_started, status_query, routing_tick, request_expired,
                  idle_query, request_check_due, link_opened, deployment_changed,
                  attempt_event, peer_heartbeat_received, peer_suspect_received,
-                 fleet_changed, shared_limits_changed>;
+                 peer_prompt_crash_received, fleet_changed,
+                 shared_limits_changed>;
 
 } // namespace bramleyarch::services
--- a/source/services/peers/peers_service.cpp
+++ b/source/services/peers/peers_service.cpp
@@ -136,6 +136,12 @@
     for (auto const& suspect : heartbeat.suspects)
         send(state.routing,
              peer_suspect_received{suspect.fingerprint, suspect.server});
+    for (auto& crash : heartbeat.prompt_crashes)
+        send(state.routing, peer_prompt_crash_received{
+                                {.server = crash.server,
+                                 .at = peer.last_seen -
+                                       std::chrono::milliseconds{crash.age_ms},
+                                 .parts = std::move(crash.parts)}});
     send(state.routing, peer_heartbeat_received{std::move(heartbeat)});
 }
 
@@ -171,6 +177,18 @@
     }
     std::erase_if(state.suspects, [](pending_suspect const& suspect)
                   { return suspect.rounds_left <= 0; });
+    for (auto& pending : state.prompt_crashes)
+    {
+        auto const& crash = pending.crash;
+        heartbeat.prompt_crashes.push_back(
+            {.server = crash.server,
+             .age_ms = static_cast<std::uint32_t>(
+                 to_ms(now(*state.clock) - crash.at)),
+             .parts = crash.parts});
+        --pending.rounds_left;
+    }
+    std::erase_if(state.prompt_crashes, [](pending_prompt_crash const& pending)
+                  { return pending.rounds_left <= 0; });
     auto const round =
         next_heartbeat_targets(state.rotation, state.options.rotation);
     heartbeat.loads = std::move(report.local);
@@ -195,6 +213,16 @@
         {{suspect.fingerprint, suspect.server_hash}, rounds_per_suspect});
 }
 
+/// Adds a crash to the next heartbeats, as with suspected requests.
+void handle_message(peers_state& state, context&,
+                    gossip_prompt_crash const& gossip)
+{
+    constexpr std::size_t max_crashes = 32;
+    if (state.prompt_crashes.size() >= max_crashes)
+        state.prompt_crashes.erase(state.prompt_crashes.begin());
+    state.prompt_crashes.push_back({gossip.crash, rounds_per_suspect});
+}
+
 void handle_message(peers_state&, context&, drain_started) {}
 
 void handle_message(peers_state& state, context&, status_query const& query)
--- a/source/services/peers/peers_service.hpp
+++ b/source/services/peers/peers_service.hpp
@@ -57,6 +57,13 @@
     int rounds_left = 0;
 };
 
+/// A crash to send in the next heartbeat rounds, as `pending_suspect`.
+struct pending_prompt_crash
+{
+    decisions::prompt_crash crash;
+    int rounds_left = 0;
+};
+
 struct peers_state
 {
     peers_options options;
@@ -67,9 +74,10 @@
     std::uint64_t sequence = 0; ///< Of the last heartbeat round.
     /// The other routers as last reported to the routing service.
     std::vector<router_id> reported_peers;
-    std::vector<pending_suspect> suspects; ///< Oldest first.
-    known_revisions local_revisions;       ///< Newest known to this router.
-    known_revisions peer_revisions;        ///< Newest received in heartbeats.
+    std::vector<pending_suspect> suspects;            ///< Oldest first.
+    std::vector<pending_prompt_crash> prompt_crashes; ///< Oldest first.
+    known_revisions local_revisions; ///< Newest known to this router.
+    known_revisions peer_revisions;  ///< Newest received in heartbeats.
     kernel::address<routing_message> routing;
     kernel::address<store_message> store;
     kernel::address<peers_message> self;
--- a/tests/unit/services/entry/fixture.hpp
+++ b/tests/unit/services/entry/fixture.hpp
@@ -138,13 +138,14 @@
         terms.max_attempts = max_attempts;
         terms.received = now(test_kernel.clock());
         terms.latency_target = 100ms;
-        routed_request request{.id = id_of(index),
-                               .service = {"desk"},
-                               .kind = kind,
-                               .deadline = now(test_kernel.clock()) + 2s,
-                               .method = "POST",
-                               .target = "/x",
-                               .terms = std::move(terms)};
+        routed_request request{
+            .id = id_of(index),
+            .service = {"desk"},
+            .kind = kind,
+            .deadline = now(test_kernel.clock()) + 2s,
+            .method = "POST",
+            .target = distinct_targets ? "/x/" + std::to_string(index) : "/x",
+            .terms = std::move(terms)};
         send(entry,
              submit_request{std::move(request),
                             [to = callers.back().get()](answer_message message)
@@ -202,6 +203,8 @@
     }
 
     revision last_change = 0;
+    /// Whether submitted requests differ, so that none repeats another.
+    bool distinct_targets = false;
 };
 
 } // namespace bramleyarch::test
--- a/tests/unit/services/peers/peers_service_test.cpp
+++ b/tests/unit/services/peers/peers_service_test.cpp
@@ -134,6 +134,32 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(crashes_of_prompt_parts_travel_with_their_age)
+{
+    send_heartbeat({.from = {"r2"},
+                    .started = 5,
+                    .sequence = 1,
+                    .prompt_crashes = {{31, 4000, {33}}}});
+    run_until(
+        [this]
+        { return !received<peer_prompt_crash_received>(*routing).empty(); });
+    auto const crash =
+        received<peer_prompt_crash_received>(*routing).front().crash;
+    BOOST_TEST(crash.server == 31U);
+    auto const age = now(test_kernel.clock()) - crash.at;
+    BOOST_TEST((age >= 4s));
+    BOOST_TEST((age < 6s));
+
+    send(peers, gossip_prompt_crash{crash});
+    for (int round = 0; round < 6; ++round)
+        send(peers, local_load_report{});
+    run_until([this] { return received_heartbeats.size() == 6; });
+    BOOST_REQUIRE(received_heartbeats.front().prompt_crashes.size() == 1U);
+    BOOST_TEST(received_heartbeats.front().prompt_crashes[0].age_ms >= 4000U);
+    // It is repeated in some rounds, since datagrams may be lost.
+    BOOST_TEST(received_heartbeats.back().prompt_crashes.empty());
+}
+
 BOOST_AUTO_TEST_CASE(own_heartbeats_are_ignored)
 {
     send_heartbeat({.from = {"r1"}, .started = 5, .sequence = 1});
--- a/tests/unit/wire/peer_heartbeats_test.cpp
+++ b/tests/unit/wire/peer_heartbeats_test.cpp
@@ -18,7 +18,8 @@
                                        .rules_revision = 31,
                                        .servers_revision = 32,
                                        .loads = {{11, 3}, {12, 4}},
-                                       .suspects = {{21, 22}}};
+                                       .suspects = {{21, 22}},
+                                       .prompt_crashes = {{31, 32, {33, 34}}}};
 
 } // namespace
 
@@ -41,6 +42,10 @@
     BOOST_REQUIRE(heartbeat.suspects.size() == 1U);
     BOOST_TEST(heartbeat.suspects[0].fingerprint == 21U);
     BOOST_TEST(heartbeat.suspects[0].server == 22U);
+    BOOST_REQUIRE(heartbeat.prompt_crashes.size() == 1U);
+    BOOST_TEST(heartbeat.prompt_crashes[0].server == 31U);
+    BOOST_TEST(heartbeat.prompt_crashes[0].age_ms == 32U);
+    BOOST_TEST(heartbeat.prompt_crashes[0].parts.size() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(truncated_and_extended_heartbeats_are_rejected)
