Count a late close of a kept connection as the server's failure

Each request that a server closed on a kept connection without a byte passed for one that met a connection closed while idle: the server was not left out, the same server was tried again at once, and a crash was not suspected. An idle connection is closed before the request arrives, so the close comes back within a round trip. A close after 50 ms or more is now the failure of a server that had the request.

Test: kept_connection_that_closes_late_is_a_failure_of_the_server; it failed before.

--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -71,6 +71,10 @@
     /// Retry-After of a request that is refused because servers crashed while
     /// it was in flight.
     duration quarantine_retry_after = std::chrono::seconds{5};
+    /// A server that closes a kept connection within this time after a request
+    /// was sent on it may have closed it before the request arrived. Covers
+    /// the way to the server and back, and a loop that is busy.
+    duration max_stale_close_delay = std::chrono::milliseconds{50};
     /// Bytes of an answer after which the parts of its prompt are proven not to
     /// crash servers; several events of a stream.
     std::uint64_t min_proof_bytes = 256;
--- a/tests/unit/services/entry/entry_test.cpp
+++ b/tests/unit/services/entry/entry_test.cpp
@@ -535,6 +535,20 @@
     BOOST_TEST((last_caller().error->cause.kind == error_kind::quarantined));
 }
 
+// Guards against a crash that passes for an idle connection which the server
+// had closed: it was never suspected, and the crashed server was tried again.
+BOOST_AUTO_TEST_CASE(
+    kept_connection_that_closes_late_is_a_failure_of_the_server)
+{
+    submit(idempotent, 2, {.streaming = true, .prompt = {{6, 300}, {7, 20}}});
+    auto const server = backend->sent.back().server;
+    test_kernel.advance(60ms);
+    fail_last_attempt(true, true);
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).size() == 1U);
+    BOOST_REQUIRE(backend->sent.size() == 2U);
+    BOOST_TEST((backend->sent.back().server != server));
+}
+
 BOOST_AUTO_TEST_CASE(new_crash_of_a_part_is_forwarded_once)
 {
     for (int i = 0; i < 3; ++i)
