Treat a stream that ends inside an event as broken off

The end of an answer that has neither a length nor chunks is the end of its connection, so a stream that a server broke off looked whole: a caller got the first part of an event and a proper end. A successful stream that ends inside an event is now a failed attempt: it goes on at another server if it may be resumed, and its caller's connection is broken off otherwise.

--- a/source/decisions/event_cursor.cpp
+++ b/source/decisions/event_cursor.cpp
@@ -36,6 +36,24 @@
 
 } // namespace
 
+void follow_events(event_cursor& cursor, std::string_view bytes)
+{
+    for (char const byte : bytes)
+    {
+        if (byte == '\r')
+            continue;
+        bool const line_end = byte == '\n';
+        cursor.inside_event =
+            !line_end || (cursor.inside_event && !cursor.after_line_end);
+        cursor.after_line_end = line_end;
+    }
+}
+
+bool is_inside_event(event_cursor const& cursor)
+{
+    return cursor.inside_event || !cursor.partial.empty();
+}
+
 std::string extract_events(event_cursor& cursor, std::string_view bytes)
 {
     cursor.partial.append(bytes);
--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -86,9 +86,10 @@
 /// in whole events, so that another server can continue them.
 std::string extract_forwardable_bytes(entry_request& request, std::string bytes)
 {
-    if (!request.routed.terms.resumable)
-        return bytes;
-    return decisions::extract_events(request.cursor, bytes);
+    if (request.routed.terms.resumable)
+        return decisions::extract_events(request.cursor, bytes);
+    decisions::follow_events(request.cursor, bytes);
+    return bytes;
 }
 
 void complete_request(entry_state& state, entry_context& ctx,
@@ -249,18 +250,6 @@
     forward_bytes(request, std::move(chunk.bytes));
 }
 
-void handle_event(entry_state& state, entry_context& ctx,
-                  entry_request& request, backend_end const&)
-{
-    if (request.buffered_head)
-        forward_head(state, ctx, request);
-    if (!request.buffered_body.empty())
-        forward_bytes(request, std::exchange(request.buffered_body, {}));
-    if (!request.cursor.partial.empty())
-        forward_bytes(request, std::exchange(request.cursor.partial, {}));
-    complete_request(state, ctx, request);
-}
-
 void handle_event(entry_state& state, entry_context& ctx,
                   entry_request& request, backend_failed const& failed)
 {
@@ -309,6 +298,30 @@
     end_refused_requests(state, ctx);
 }
 
+/// Completes the request, unless the answer is a stream that was broken off:
+/// one whose end is the end of its connection can end anywhere.
+void handle_event(entry_state& state, entry_context& ctx,
+                  entry_request& request, backend_end const& end)
+{
+    if (request.routed.terms.streaming && is_success(request.attempt_status) &&
+        decisions::is_inside_event(request.cursor))
+    {
+        handle_event(state, ctx, request,
+                     backend_failed{.attempt = end.attempt,
+                                    .cause = {error_kind::server_closed,
+                                              "the stream ended in an event"},
+                                    .sent = true});
+        return;
+    }
+    if (request.buffered_head)
+        forward_head(state, ctx, request);
+    if (!request.buffered_body.empty())
+        forward_bytes(request, std::exchange(request.buffered_body, {}));
+    if (!request.cursor.partial.empty())
+        forward_bytes(request, std::exchange(request.cursor.partial, {}));
+    complete_request(state, ctx, request);
+}
+
 /// Does nothing: probe results belong to no attempt and are handled in
 /// `handle_attempt_event`.
 void handle_event(entry_state&, entry_context&, entry_request&,
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -227,6 +227,7 @@
     request.attempt_started_at = at;
     request.buffered_head.reset();
     request.buffered_body.clear();
+    request.attempt_status = 0;
     request.attempt_bytes = 0;
     decisions::discard_partial(request.cursor);
     ++server.local_in_flight;
--- a/tests/unit/decisions/event_cursor_test.cpp
+++ b/tests/unit/decisions/event_cursor_test.cpp
@@ -57,6 +57,33 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(streams_that_end_inside_an_event_are_told)
+{
+    for (std::string const whole :
+         {"", "id: 1\n\n", "data: a\ndata: b\n\n\n", "id: 1\r\n\r\n"})
+    {
+        event_cursor cursor;
+        follow_events(cursor, whole);
+        BOOST_TEST(!is_inside_event(cursor), whole);
+    }
+    std::string const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    auto const middle = stream.find("id: 2");
+    for (std::size_t size = 1; size < stream.size(); ++size)
+    {
+        event_cursor at_once;
+        follow_events(at_once, std::string_view{stream}.substr(0, size));
+        BOOST_TEST(is_inside_event(at_once) == (size != middle), size);
+        event_cursor in_bytes;
+        for (std::size_t i = 0; i < size; ++i)
+            follow_events(in_bytes, std::string_view{stream}.substr(i, 1));
+        BOOST_TEST(is_inside_event(in_bytes) == is_inside_event(at_once), size);
+        event_cursor extracted;
+        extract_events(extracted, std::string_view{stream}.substr(0, size));
+        BOOST_TEST(is_inside_event(extracted) == is_inside_event(at_once),
+                   size);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(events_without_an_id_are_passed_on)
 {
     event_cursor cursor;
