Do not keep a connection on which a server refused a request

A faulty server may write a refusal once more on a kept connection. A refusal that names another request was told already. A connection now ends with an answer of status 408, 421, 429 or 503.

Test: connection_with_a_refusal_carries_no_further_request; it failed before. heads_without_end_fail holds without a change: bytes without end in a status line, a header, interim answers, trailers and chunk extensions end the attempt.

--- a/source/http/client_io.cpp
+++ b/source/http/client_io.cpp
@@ -3,6 +3,7 @@
 #include "http/headers.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <fmt/format.h>
 #include <utility>
@@ -114,13 +115,23 @@
     arm(c, s);
 }
 
+/// Returns whether a server refuses a request with this status. A faulty server
+/// may write such an answer twice. On a kept connection, the second one would
+/// pass for the answer to the next request, which the server runs.
+bool is_refusal(int status)
+{
+    constexpr std::array refusals{408, 421, 429, 503};
+    return std::ranges::find(refusals, status) != refusals.end();
+}
+
 /// The answer is whole: keeps the connection for the next request if it can.
 void finish(client& c, server_connection& s)
 {
     auto const id = s.request.id;
     c.serials.erase(id);
     report(c, response_end{id});
-    bool const reusable = s.parser.keep_alive && s.held.empty() &&
+    bool const reusable = s.parser.keep_alive &&
+                          !is_refusal(s.parser.head.status) && s.held.empty() &&
                           !s.peer_closed && net::queued(*s.socket) == 0;
     if (!reusable || c.idle[s.to].size() >= c.options.max_idle_per_server)
     {
--- a/tests/unit/http/client_test.cpp
+++ b/tests/unit/http/client_test.cpp
@@ -295,6 +295,31 @@
     run_until([&] { return server.closed_by_peer() == 1; });
 }
 
+// Guards against telling callers that a request has not run which has: the
+// server writes its last refusal once more, on a kept connection.
+BOOST_AUTO_TEST_CASE(connection_with_a_refusal_carries_no_further_request)
+{
+    for (std::string const status : {"408", "421", "429", "503"})
+    {
+        seen = {};
+        testing::raw_server server{
+            {.parts = {"HTTP/1.1 " + status +
+                       " Refused\r\ncontent-length: 0\r\n\r\n"},
+             .then = ending::hold}};
+        auto request = request_to(server.port());
+        request.may_reuse = true;
+        http::open(*client, std::move(request));
+        finish();
+        BOOST_TEST(seen.ends == 1U);
+        // An idle connection would be kept for 10 s.
+        auto const limit = std::chrono::steady_clock::now() + 3s;
+        while (server.closed_by_peer() == 0 &&
+               std::chrono::steady_clock::now() < limit)
+            run_for(5ms);
+        BOOST_TEST(server.closed_by_peer() == 1U, status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_unframed_answer_that_is_reset_is_not_whole)
 {
     testing::raw_server server{
@@ -434,6 +459,32 @@
     }
 }
 
+// Guards against a server whose bytes have no end, wherever they are.
+BOOST_AUTO_TEST_CASE(heads_without_end_fail)
+{
+    std::string const head = "HTTP/1.1 200 OK\r\n";
+    auto const repeat = [](std::string const& text)
+    {
+        std::string repeated;
+        while (repeated.size() < (1U << 20))
+            repeated += text;
+        return repeated;
+    };
+    for (auto const& endless :
+         {repeat("x"), head + repeat("a: b\r\n"), head + "a: " + repeat("b"),
+          "HTTP/1.1 200 " + repeat("OK"),
+          repeat("HTTP/1.1 100 Continue\r\n\r\n"),
+          chunked_head + "0\r\n" + repeat("a: b\r\n"),
+          chunked_head + "1;" + repeat("e"), chunked_head + repeat("0")})
+    {
+        seen = {};
+        testing::raw_server server{{.parts = {endless}, .then = ending::hold}};
+        http::open(*client, request_to(server.port()));
+        finish();
+        BOOST_TEST(seen.failures.size() == 1U, endless.substr(0, 80));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(many_streams_run_at_once)
 {
     constexpr std::uint64_t count = 300;
