Give up an event that has no end

A server in trouble may send bytes without end. In a stream that may be resumed they were collected for the event that they seemed to be part of, without a limit, until the process was out of memory. Such an event is given up at 256 KiB, and the stream goes on at another server after its last whole event.

Test: event_without_end_is_given_up; it failed before.

--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -209,6 +209,24 @@
     request.buffered_head = std::move(head);
 }
 
+/// Returns whether the server sends an event without end.
+bool is_event_too_long(entry_state const& state, entry_request const& request)
+{
+    return request.cursor.partial.size() >
+           state.options.max_buffered_answer_bytes;
+}
+
+/// Forwards bytes of the answer, after its head.
+void forward_answer_bytes(entry_state& state, entry_context& ctx,
+                          entry_request& request, std::string bytes)
+{
+    if (bytes.empty())
+        return;
+    if (request.buffered_head)
+        forward_head(state, ctx, request);
+    forward_bytes(request, std::move(bytes));
+}
+
 void handle_event(entry_state& state, entry_context& ctx,
                   entry_request& request, backend_chunk chunk)
 {
@@ -243,13 +261,15 @@
              grant_backend_credit{
                  {request.routed.id, request.attempt_number},
                  static_cast<std::uint32_t>(size - chunk.bytes.size())});
-    if (chunk.bytes.empty())
+    if (is_event_too_long(state, request))
+    {
+        forward_answer_bytes(state, ctx, request, std::move(chunk.bytes));
+        reject_answer(state, ctx, request, answer_kind::foreign,
+                      request.attempt_status);
         return;
-    if (request.buffered_head)
-        forward_head(state, ctx, request);
-    forward_bytes(request, std::move(chunk.bytes));
+    }
+    forward_answer_bytes(state, ctx, request, std::move(chunk.bytes));
 }
-
 void handle_event(entry_state& state, entry_context& ctx,
                   entry_request& request, backend_failed const& failed)
 {
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -44,6 +44,7 @@
     decisions::hot_prompt_options hot_prompt;
     /// Answers that are not streams are buffered until they are complete, up to
     /// this size, so that another server can still answer if one is cut off.
+    /// Also the longest event of a stream.
     std::size_t max_buffered_answer_bytes = 256U << 10;
     /// Subtracted from the caller's deadline to leave time for returning the
     /// answer.
--- a/tests/unit/services/entry/entry_test.cpp
+++ b/tests/unit/services/entry/entry_test.cpp
@@ -588,6 +588,25 @@
     BOOST_TEST(last_caller().body == "id: 1\n\nid: 2\ndata\n\n");
 }
 
+// Guards against a server whose bytes have no end: they were collected for an
+// event until the process was out of memory.
+BOOST_AUTO_TEST_CASE(event_without_end_is_given_up)
+{
+    submit(idempotent, 2, {.streaming = true, .resumable = true});
+    auto const id = backend->sent.back().attempt;
+    deliver(backend_send_started{id});
+    deliver(backend_head{id, 200, {}});
+    deliver(backend_chunk{id, "id: 1\n\nid: 2"});
+    for (int i = 0; i < 5 && backend->aborted.empty(); ++i)
+        deliver(backend_chunk{id, std::string(64U << 10, 'x')});
+    BOOST_REQUIRE(backend->aborted.size() == 1U);
+    BOOST_REQUIRE(backend->sent.size() == 2U);
+    BOOST_TEST(find_header(backend->sent.back().headers, "resume") == "1");
+    answer_last_attempt(200, "id: 2\n\n");
+    BOOST_TEST(last_caller().ended);
+    BOOST_TEST(last_caller().body == "id: 1\n\nid: 2\n\n");
+}
+
 /// Forwarding makes a suspect reach routers that do not receive the heartbeats
 /// of the router that reported it.
 BOOST_AUTO_TEST_CASE(new_suspect_is_forwarded_once)
