Use no server whose entry is out of range

Other operators saw an odd entry of another writer end the processes that read it. Here, deep nesting, numbers that are too large and ports out of range end nothing; the new tests show it. But an entry with slots, a cold time, a sequence or a start of another type or out of range named a usable server: a number that did not fit was cut or replaced, and a start far in the future kept the entries of the real server out. The platform's page says that such an entry names no server.

--- a/tests/unit/platform/records_test.cpp
+++ b/tests/unit/platform/records_test.cpp
@@ -96,16 +96,71 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(numbers_of_another_type_get_defaults)
+// Guards against an entry of another writer that ends the routers, or makes
+// them use a server that does not exist.
+BOOST_AUTO_TEST_CASE(odd_server_entries_are_unusable)
 {
-    auto const record = decode_record(
-        "servers/i-1",
-        R"({"Service":"llm","Address":"10.0.0.9:8080","State":"ready",
-            "Slots":"many","ColdRemainingMs":1e300,"born":-5,"Sequence":{}})");
-    auto const& entry = std::get<server_entry>(record);
-    BOOST_TEST(entry.server.slots == 1U);
-    BOOST_TEST(entry.server.born == 0U);
-    BOOST_TEST((entry.server.cold_left > 0s));
+    std::string const address = R"("Address":"10.0.0.9:8080",)";
+    std::string const slots = R"("Slots":64,)";
+    std::string const cold = R"("ColdRemainingMs":0,)";
+    std::string const sequence = R"("Sequence":4,)";
+    std::string const rest = R"("Service":"llm","Zone":"a","State":"ready")";
+    auto const entry = [&](std::string const& members)
+    { return "{" + members + rest + "}"; };
+    auto const is_usable = [](std::string const& text)
+    {
+        auto const record = decode_record("servers/i-1", text);
+        return std::holds_alternative<server_entry>(record);
+    };
+    BOOST_TEST(is_usable(entry(address + slots + cold + sequence)));
+    for (std::string const odd :
+         {R"("Address":"10.0.0.9:65536",)", R"("Address":"10.0.0.9:-1",)",
+          R"("Address":"10.0.0.9:99999999999999999999",)",
+          R"("Address":"10.0.0.9:80 ",)", R"("Address":"10.0.0.9",)"})
+        BOOST_TEST(!is_usable(entry(odd + slots + cold + sequence)), odd);
+    for (std::string const odd :
+         {"", R"("Slots":0,)", R"("Slots":"many",)", R"("Slots":4294967296,)",
+          R"("Slots":1e300,)", R"("Slots":1e999,)", R"("Slots":-1,)"})
+        BOOST_TEST(!is_usable(entry(address + odd + cold + sequence)), odd);
+    for (std::string const odd :
+         {"", R"("ColdRemainingMs":1e300,)", R"("ColdRemainingMs":-5,)",
+          R"("ColdRemainingMs":18446744073709551615,)",
+          R"("ColdRemainingMs":184467440737095516160,)"})
+        BOOST_TEST(!is_usable(entry(address + slots + odd + sequence)), odd);
+    for (std::string const odd :
+         {"", R"("Sequence":{},)", R"("Sequence":1.5,)", R"("Sequence":-1,)"})
+        BOOST_TEST(!is_usable(entry(address + slots + cold + odd)), odd);
+    for (std::string const odd :
+         {R"("born":-5,)", R"("born":"now",)", R"("born":1e18,)",
+          R"("born":18446744073709551615,)"})
+        BOOST_TEST(!is_usable(entry(address + slots + cold + sequence + odd)),
+                   odd);
+}
+
+BOOST_AUTO_TEST_CASE(deeply_nested_entries_are_read_safely)
+{
+    constexpr std::size_t depth = 300'000;
+    std::string const arrays =
+        std::string(depth, '[') + std::string(depth, ']');
+    std::string objects;
+    for (std::size_t i = 0; i < depth; ++i)
+        objects += R"({"a":)";
+    objects += "1" + std::string(depth, '}');
+    for (auto const& nested : {arrays, objects})
+    {
+        auto const record =
+            decode_record("servers/i-1", R"({"Service":)" + nested + "}");
+        BOOST_TEST(std::holds_alternative<unusable_entry>(record));
+        auto const usable = decode_record(
+            "servers/i-1",
+            R"({"Service":"llm","Address":"10.0.0.9:8080","Zone":"a",)"
+            R"("Slots":1,"State":"ready","ColdRemainingMs":0,"Sequence":1,)"
+            R"("Models":)" +
+                nested + "}");
+        BOOST_TEST(std::holds_alternative<server_entry>(usable));
+        BOOST_TEST(std::holds_alternative<ignored_record>(
+            decode_record("op/config", nested)));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(malformed_rules_are_ignored)
