Heed what servers announce in their answers

Both were passed on and not read: a leaving server got requests until the store's entry said so, and a refusing one was tried again by each next request.

Where all servers of a service want a pause, requests are refused at once with a Retry-After that is no shorter.

Tests: server_that_announces_its_leaving_gets_no_more_requests, server_that_wants_a_pause_gets_none_meanwhile, answers_announce_leaving_and_pauses.

--- a/source/services/entry/backend_dialect.hpp
+++ b/source/services/entry/backend_dialect.hpp
@@ -43,6 +43,9 @@
 {
     answer_kind kind = answer_kind::genuine;
     std::optional<reported_load> load; ///< std::nullopt: not reported.
+    bool leaving = false; ///< The server announces that it is leaving.
+    /// Time for which the server wants no further request from this router.
+    duration wanted_pause{};
 };
 
 /// Parameters of a single attempt, sent along with the request.
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -105,6 +105,11 @@
     bool probe_in_flight = false;
     /// Another server answers at this server's address.
     bool misdirected = false;
+    /// The server announced in an answer that it is leaving. It does not return
+    /// before its next start.
+    bool announced_leaving = false;
+    /// Until then, the server wants no request from this router.
+    time_point paused_until{};
 };
 
 enum class request_stage
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -112,13 +112,37 @@
                      id) != request.tried_servers.end();
 }
 
+/// Returns whether the server may get requests of the service, apart from what
+/// changes with time.
+bool is_in_use(entry_state const& state, service_id const& service,
+               backend_server const& server)
+{
+    return server.listed.service == service && !server.listed.leaving &&
+           !server.announced_leaving && !server.misdirected &&
+           !state.deployment->taken_out.contains(server.listed.domain);
+}
+
 bool is_eligible(entry_state const& state, entry_request const& request,
-                 backend_server const& server)
+                 backend_server const& server, time_point at)
+{
+    return is_in_use(state, request.routed.service, server) &&
+           server.paused_until <= at && !was_tried(request, server.listed.id);
+}
+
+/// Returns the time until a server of the service wants requests again if all
+/// of them have asked for a pause, otherwise zero.
+duration remaining_pause(entry_state const& state, service_id const& service,
+                         time_point at)
 {
-    return server.listed.service == request.routed.service &&
-           !server.listed.leaving && !server.misdirected &&
-           !state.deployment->taken_out.contains(server.listed.domain) &&
-           !was_tried(request, server.listed.id);
+    std::optional<duration> shortest;
+    for (auto const& [id, server] : state.servers)
+    {
+        if (!is_in_use(state, service, server))
+            continue;
+        auto const remaining = std::max(server.paused_until - at, duration{});
+        shortest = std::min(shortest.value_or(remaining), remaining);
+    }
+    return shortest.value_or(duration::zero());
 }
 
 /// Returns whether this router may send one more request to the cold server
@@ -157,7 +181,7 @@
     eligible_servers cold;
     for (auto& [id, server] : state.servers)
     {
-        if (!is_eligible(state, request, server))
+        if (!is_eligible(state, request, server, at))
             continue;
         if (server.cold_until > at)
         {
@@ -337,9 +361,11 @@
                          ? error{error_kind::no_eligible_server,
                                  request.routed.service.value}
                          : request.last_failure;
-        fail_request(
-            state, ctx, request, std::move(cause),
-            jittered_retry_after(state, state.options.min_retry_after));
+        auto const least =
+            std::max(state.options.min_retry_after,
+                     remaining_pause(state, request.routed.service, at));
+        fail_request(state, ctx, request, std::move(cause),
+                     jittered_retry_after(state, least));
         return;
     }
     dispatch_attempt(state, ctx, request, *eligible.servers[choice->index],
--- a/source/services/entry/servers.cpp
+++ b/source/services/entry/servers.cpp
@@ -19,6 +19,8 @@
     server.ejected = false;
     server.consecutive_failures = 0;
     server.next_cold_send_at = {};
+    server.announced_leaving = false;
+    server.paused_until = {};
 }
 
 } // namespace
--- a/tests/unit/platform/dialects_test.cpp
+++ b/tests/unit/platform/dialects_test.cpp
@@ -216,6 +216,23 @@
     BOOST_TEST((classify(500, {id, signature}) == answer_kind::genuine));
 }
 
+BOOST_AUTO_TEST_CASE(answers_announce_leaving_and_pauses)
+{
+    routed_request const request;
+    auto const parse = [&](int status, std::vector<header_field> headers)
+    { return backend_dialect().parse_head(request, status, headers); };
+    BOOST_TEST(parse(200, {{"server-leaving", "1"}}).leaving);
+    BOOST_TEST(!parse(200, {{"server-leaving", "0"}}).leaving);
+    BOOST_TEST(!parse(200, {}).leaving);
+    BOOST_TEST((parse(503, {{"retry-after", "2"}}).wanted_pause == 2s));
+    BOOST_TEST((parse(503, {{"retry-after", "0.25"}}).wanted_pause == 250ms));
+    BOOST_TEST((parse(503, {{"retry-after", "1e9"}}).wanted_pause == 10min));
+    BOOST_TEST((parse(200, {{"retry-after", "2"}}).wanted_pause == 0s));
+    for (std::string const text : {"", "-1", "soon", "2s", "nan"})
+        BOOST_TEST((parse(503, {{"retry-after", text}}).wanted_pause == 0s),
+                   text);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_loads_are_ignored)
 {
     auto const load = parse_load("3,1,8");
--- a/tests/unit/services/entry/entry_test.cpp
+++ b/tests/unit/services/entry/entry_test.cpp
@@ -607,6 +607,59 @@
     BOOST_TEST(last_caller().body == "id: 1\n\nid: 2\n\n");
 }
 
+// Guards against requests to a server that is about to exit, while the store
+// does not say so yet.
+BOOST_AUTO_TEST_CASE(server_that_announces_its_leaving_gets_no_more_requests)
+{
+    submit(idempotent);
+    auto const leaving = backend->sent.back().server;
+    answer_last_attempt(200, "ok", {{"leaving", "1"}});
+    BOOST_TEST(last_caller().ended);
+    for (int i = 0; i < 20; ++i)
+    {
+        submit(idempotent);
+        BOOST_TEST((backend->sent.back().server != leaving));
+        answer_last_attempt(200, "ok");
+    }
+    // An entry that is rewritten changes nothing, a new start does.
+    deployment.servers[leaving].changed = ++last_change;
+    publish_deployment();
+    submit(idempotent);
+    BOOST_TEST((backend->sent.back().server != leaving));
+    answer_last_attempt(200, "ok");
+    deployment.servers[leaving].born = 2;
+    publish_deployment();
+    std::set<server_id> used;
+    for (int i = 0; i < 40; ++i)
+    {
+        submit(idempotent);
+        used.insert(backend->sent.back().server);
+        answer_last_attempt(200, "ok");
+    }
+    BOOST_TEST(used.contains(leaving));
+}
+
+// Guards against requests that a server has asked not to be sent.
+BOOST_AUTO_TEST_CASE(server_that_wants_a_pause_gets_none_meanwhile)
+{
+    std::vector<header_field> const refusal{{"answer-kind", "not_executed"},
+                                            {"pause", "1"}};
+    submit(non_idempotent, 2);
+    answer_last_attempt(503, "", refusal);
+    answer_last_attempt(503, "", refusal);
+    BOOST_REQUIRE(last_caller().error);
+    // What no server can run is refused at once, until one wants it again.
+    auto const sent = backend->sent.size();
+    submit(non_idempotent, 2);
+    BOOST_TEST(backend->sent.size() == sent);
+    BOOST_REQUIRE(last_caller().error);
+    BOOST_TEST((last_caller().error->known == outcome::not_run));
+    BOOST_TEST((last_caller().error->retry_after >= 2s));
+    test_kernel.advance(2s);
+    submit(non_idempotent, 2);
+    BOOST_TEST(backend->sent.size() == sent + 1);
+}
+
 /// Forwarding makes a suspect reach routers that do not receive the heartbeats
 /// of the router that reported it.
 BOOST_AUTO_TEST_CASE(new_suspect_is_forwarded_once)
--- a/tests/unit/services/entry/fixture.hpp
+++ b/tests/unit/services/entry/fixture.hpp
@@ -60,12 +60,16 @@
     return headers;
 }
 
-/// Reads the kind of an answer from its header `answer-kind`.
+/// Reads the kind of an answer from its header `answer-kind`. The headers
+/// `leaving` and `pause` announce that the server leaves, or wants a pause of
+/// 2 s.
 inline parsed_head parse_test_head(routed_request const&, int,
                                    std::vector<header_field> const& headers)
 {
     return {.kind = from_name<answer_kind>(find_header(headers, "answer-kind"))
-                        .value_or(answer_kind::genuine)};
+                        .value_or(answer_kind::genuine),
+            .leaving = !find_header(headers, "leaving").empty(),
+            .wanted_pause = find_header(headers, "pause").empty() ? 0s : 2s};
 }
 
 /// What one caller received.
