Check base64 by a table of its digits

A large configuration keeps the loop of a small instance busy while it is decoded, and requests wait. Of a response of 559 kB with one version, 27.2 ms of a whole core in all, the search for each byte in the alphabet took 5.5 ms; with a table it takes 0.9 ms, and the response 21.6 ms (means of ten, beside other load).

--- a/source/common/base64.cpp
+++ b/source/common/base64.cpp
@@ -1,5 +1,7 @@
 #include "common/base64.hpp"
 
+#include <algorithm>
+#include <array>
 #include <openssl/evp.h>
 
 namespace bramleyarch
@@ -18,19 +20,31 @@
     return reinterpret_cast<unsigned char const*>(text.data());
 }
 
-/// Number of '=' at the end; -1 when the text is no base64.
-int padding_of(std::string_view text)
+/// Which bytes are digits of base64. A search in the alphabet for each byte of
+/// a large value takes as long as decoding it.
+constexpr auto is_digit = []
 {
     constexpr std::string_view alphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
                                           "abcdefghijklmnopqrstuvwxyz"
                                           "0123456789+/";
+    std::array<bool, 256> table{};
+    for (char const digit : alphabet)
+        table[static_cast<unsigned char>(digit)] = true;
+    return table;
+}();
+
+/// Number of '=' at the end; -1 when the text is no base64.
+int padding_of(std::string_view text)
+{
     if (text.size() % 4 != 0)
         return -1;
     auto const end = text.find_last_not_of('=');
     auto const used = end == std::string_view::npos ? 0 : end + 1;
     auto const padding = text.size() - used;
-    if (padding > 2 || text.substr(0, used).find_first_not_of(alphabet) !=
-                           std::string_view::npos)
+    if (padding > 2 ||
+        !std::ranges::all_of(
+            text.substr(0, used), [](char const byte)
+            { return is_digit[static_cast<unsigned char>(byte)]; }))
         return -1;
     return static_cast<int>(padding);
 }
