Handle a crash of more parts than are kept

Found on reading the diff: a router whose list of suspected parts is full would have ended with an exception when it logged a part that was not kept.

Test: crash_of_more_parts_than_are_kept_is_handled.

--- a/source/services/entry/servers.cpp
+++ b/source/services/entry/servers.cpp
@@ -144,11 +144,16 @@
     count(state.telemetry_sink, counter::suspects_recorded);
     send(state.peers_service, gossip_prompt_crash{crash});
     for (auto const part : crash.parts)
+    {
+        // Absent if too many parts are suspected.
+        auto const suspect = state.crashing_parts.suspects.find(part);
+        if (suspect == state.crashing_parts.suspects.end())
+            continue;
         log(state.telemetry_sink, log_severity::info, "prompt_suspected",
             fmt::format("request={} part={:x} server={} crashes={}",
                         to_text(request.routed.id), part,
-                        server.listed.id.value,
-                        state.crashing_parts.suspects.at(part).size()));
+                        server.listed.id.value, suspect->second.size()));
+    }
 }
 
 void clear_crash_suspect(entry_state& state, entry_request const& request)
--- a/tests/unit/services/entry/entry_test.cpp
+++ b/tests/unit/services/entry/entry_test.cpp
@@ -501,6 +501,23 @@
     BOOST_TEST((last_caller().error->known == outcome::unknown));
 }
 
+// Guards against a process that ends because more parts are suspected than it
+// keeps.
+BOOST_AUTO_TEST_CASE(crash_of_more_parts_than_are_kept_is_handled)
+{
+    std::uint64_t part = 100;
+    decisions::prompt_crash many{.server = 1, .at = now(test_kernel.clock())};
+    while (many.parts.size() + 1 <
+           decisions::crashing_parts_options{}.max_suspects)
+        many.parts.push_back(++part);
+    send(entry, peer_prompt_crash_received{many});
+    test_kernel.run_until_idle();
+    submit(non_idempotent, 1,
+           {.streaming = true, .prompt = {{5, 9}, {6, 9}, {7, 9}}});
+    fail_last_attempt(true);
+    BOOST_TEST(last_caller().error.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(server_that_crashes_during_an_answer_suspects_no_part)
 {
     submit(non_idempotent, 1,
