Repeat only the crashes that lead to a refusal

Found on reading the diff: every crash of a refused part, up to 16, was in all heartbeats for as long as it was kept. Three crashes a part are enough for a router that starts later; each names all refused parts that it may be due to, so that the receiver tells them apart like the sender.

Test: few_crashes_are_repeated_and_explain_the_same.

--- a/source/decisions/crashing_parts.cpp
+++ b/source/decisions/crashing_parts.cpp
@@ -17,26 +17,26 @@
            crashes.end();
 }
 
-/// Returns the number of crashes, without those that follow the one counted
-/// before too closely.
-std::size_t count_apart(crash_list const& crashes, duration min_interval)
+/// Returns the first crashes that count, as many as lead to a refusal, without
+/// those that follow the one before too closely.
+crash_list counted_crashes(crashing_parts const& state,
+                           crash_list const& crashes)
 {
-    std::size_t count = 0;
-    time_point last{};
+    crash_list counted;
     for (auto const& crash : crashes)
     {
-        if (count > 0 && crash.at - last < min_interval)
-            continue;
-        ++count;
-        last = crash.at;
+        if (counted.size() == state.options.max_crashes)
+            break;
+        if (counted.empty() ||
+            crash.at - counted.back().at >= state.options.min_crash_interval)
+            counted.push_back(crash);
     }
-    return count;
+    return counted;
 }
 
 bool has_enough_crashes(crashing_parts const& state, crash_list const& crashes)
 {
-    return count_apart(crashes, state.options.min_crash_interval) >=
-           state.options.max_crashes;
+    return counted_crashes(state, crashes).size() == state.options.max_crashes;
 }
 
 /// Returns whether another part explains all crashes of a part as well.
@@ -148,12 +148,19 @@
     {
         if (!has_enough_crashes(state, crashes))
             continue;
-        for (auto const& crash : crashes)
+        for (auto const& crash : counted_crashes(state, crashes))
+            by_server[crash.server] = {.server = crash.server, .at = crash.at};
+    }
+    // Each crash names all of these parts, so that what explains what is the
+    // same for the receiver.
+    for (auto const& [part, crashes] : state.suspects)
+    {
+        if (!has_enough_crashes(state, crashes))
+            continue;
+        for (auto& [server, repeated] : by_server)
         {
-            auto& repeated = by_server[crash.server];
-            repeated.server = crash.server;
-            repeated.at = crash.at;
-            repeated.parts.push_back(part);
+            if (contains(crashes, server))
+                repeated.parts.push_back(part);
         }
     }
     std::vector<prompt_crash> repeated;
--- a/source/decisions/crashing_parts.hpp
+++ b/source/decisions/crashing_parts.hpp
@@ -85,8 +85,8 @@
 bool should_refuse(crashing_parts const& state,
                    std::vector<prompt_part> const& prompt);
 
-/// Returns the crashes of the parts that have enough of them to be refused, to
-/// be sent to routers that started after them.
+/// Returns those crashes because of which parts may be refused, to be sent to
+/// routers that started after them.
 std::vector<prompt_crash> crashes_to_repeat(crashing_parts const& state);
 
 /// Removes the crashes and answers that have expired at `at`.
--- a/tests/unit/decisions/crashing_parts_test.cpp
+++ b/tests/unit/decisions/crashing_parts_test.cpp
@@ -160,6 +160,29 @@
         BOOST_TEST(!record_prompt_crash(started, repeated, at));
 }
 
+// Guards against heartbeats that grow with the crashes, and against a receiver
+// that blames a sound part because it knows fewer crashes of the other.
+BOOST_AUTO_TEST_CASE(few_crashes_are_repeated_and_explain_the_same)
+{
+    crashing_parts state;
+    for (std::uint64_t server = 1; server <= 12; ++server)
+    {
+        auto const at = begin + server * 1s;
+        bool const has_document = server % 3 == 0;
+        crash(state, has_document ? crashing : prompt_of({crashing_part}),
+              server, at);
+    }
+    BOOST_TEST(!should_refuse(state, sound));
+    auto const repeated = crashes_to_repeat(state);
+    BOOST_TEST(repeated.size() <= 9U);
+    crashing_parts started;
+    for (auto const& one : repeated)
+        record_prompt_crash(started, one, begin + 13s);
+    BOOST_TEST(should_refuse(started, crashing));
+    BOOST_TEST(should_refuse(started, prompt_of({crashing_part})));
+    BOOST_TEST(!should_refuse(started, sound));
+}
+
 BOOST_AUTO_TEST_CASE(crashes_expire)
 {
     crashing_parts state;
