Keep a server's announcements for its run, not for its entry

Found on review: what a server had announced, that it leaves or wants a pause, was kept with its entry in the list. An entry that expires while the store is away and returns under the same start made the router forget it, and an answer that came meanwhile was not heeded, so a leaving server could get requests again (DRAIN). Announcements now stand apart, by the server's run, in decisions/server_announcements, and expire.

The Retry-After of requests that no server wants was spread up to twice the pause; it is now the shortest pause plus the usual spread.

--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -162,19 +162,22 @@
                    detail});
 }
 
-/// Records what a server announces about itself in an answer.
-void record_announcements(entry_state& state, backend_server& server,
+/// Records what the server of the current attempt announces in its answer. The
+/// server may not be listed any more.
+void record_announcements(entry_state& state, entry_request const& request,
                           parsed_head const& head, time_point at)
 {
-    if (head.leaving && !std::exchange(server.announced_leaving, true))
+    auto& announcements = state.announcements;
+    if (head.leaving &&
+        decisions::record_leaving(announcements, request.server_run, at))
         log(state.telemetry_sink, log_severity::info, "server_leaves",
-            fmt::format("server={} listed_leaving={}", server.listed.id.value,
-                        server.listed.leaving));
+            fmt::format("server={}", request.current_server.value));
     if (head.wanted_pause <= duration::zero())
         return;
-    server.paused_until = std::max(server.paused_until, at + head.wanted_pause);
+    decisions::record_pause(announcements, request.server_run,
+                            head.wanted_pause, at);
     log(state.telemetry_sink, log_severity::info, "server_wants_pause",
-        fmt::format("server={} pause_ms={}", server.listed.id.value,
+        fmt::format("server={} pause_ms={}", request.current_server.value,
                     to_ms(head.wanted_pause)));
 }
 
@@ -189,8 +192,8 @@
         server->last_report = parsed.load;
         server->reported_at = now(ctx);
     }
-    if (server && parsed.kind != answer_kind::foreign)
-        record_announcements(state, *server, parsed, now(ctx));
+    if (parsed.kind != answer_kind::foreign)
+        record_announcements(state, request, parsed, now(ctx));
     if (parsed.kind != answer_kind::genuine)
     {
         reject_answer(state, ctx, request, parsed.kind, head.status);
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -22,6 +22,10 @@
 /// Returns the number of routers in the fleet, including this one.
 std::uint32_t router_count(entry_state const& state);
 
+/// Returns a hash that identifies one run of the server, from its start to its
+/// end.
+std::uint64_t run_of(backend_server const& server);
+
 /// Ejects the server after a failed attempt or probe. Failures before the next
 /// probe is due count as part of the same failure.
 void record_server_failure(entry_state& state, backend_server& server,
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -192,6 +192,7 @@
         return;
     decisions::remove_expired_crashes(state.crashes, now(ctx));
     decisions::remove_expired(state.crashing_parts, now(ctx));
+    decisions::remove_expired(state.announcements, now(ctx));
     for (auto& crash : decisions::crashes_to_repeat(state.crashing_parts))
         send(state.peers_service, gossip_prompt_crash{std::move(crash)});
     flush(state.telemetry_sink);
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -11,6 +11,7 @@
 #include "decisions/hot_prompt.hpp"
 #include "decisions/prompt_copy.hpp"
 #include "decisions/remote_loads.hpp"
+#include "decisions/server_announcements.hpp"
 #include "decisions/server_choice.hpp"
 #include "kernel/service.hpp"
 #include "services/entry/backend_dialect.hpp"
@@ -105,11 +106,6 @@
     bool probe_in_flight = false;
     /// Another server answers at this server's address.
     bool misdirected = false;
-    /// The server announced in an answer that it is leaving. It does not return
-    /// before its next start.
-    bool announced_leaving = false;
-    /// Until then, the server wants no request from this router.
-    time_point paused_until{};
 };
 
 enum class request_stage
@@ -133,6 +129,8 @@
     bool may_have_run = false;
     /// Server of the current attempt; empty when no attempt is in flight.
     server_id current_server;
+    /// Hash of the run of the server that the last attempt was sent to.
+    std::uint64_t server_run = 0;
     std::vector<server_id> tried_servers;
     time_point attempt_started_at{};
     /// Time of the last byte received in the current attempt, or of its start.
@@ -164,6 +162,7 @@
     decisions::remote_loads remote_loads;
     decisions::crash_history crashes;
     decisions::crashing_parts crashing_parts;
+    decisions::server_announcements announcements;
     std::vector<router_id> other_routers;
     kernel::address<backend_message> backend;
     kernel::address<peers_message> peers_service;
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -118,7 +118,8 @@
                backend_server const& server)
 {
     return server.listed.service == service && !server.listed.leaving &&
-           !server.announced_leaving && !server.misdirected &&
+           !server.misdirected &&
+           !decisions::is_leaving(state.announcements, run_of(server)) &&
            !state.deployment->taken_out.contains(server.listed.domain);
 }
 
@@ -126,20 +127,23 @@
                  backend_server const& server, time_point at)
 {
     return is_in_use(state, request.routed.service, server) &&
-           server.paused_until <= at && !was_tried(request, server.listed.id);
+           !was_tried(request, server.listed.id) &&
+           decisions::remaining_pause(state.announcements, run_of(server),
+                                      at) == duration::zero();
 }
 
 /// Returns the time until a server of the service wants requests again if all
 /// of them have asked for a pause, otherwise zero.
-duration remaining_pause(entry_state const& state, service_id const& service,
-                         time_point at)
+duration shortest_pause(entry_state const& state, service_id const& service,
+                        time_point at)
 {
     std::optional<duration> shortest;
     for (auto const& [id, server] : state.servers)
     {
         if (!is_in_use(state, service, server))
             continue;
-        auto const remaining = std::max(server.paused_until - at, duration{});
+        auto const remaining =
+            decisions::remaining_pause(state.announcements, run_of(server), at);
         shortest = std::min(shortest.value_or(remaining), remaining);
     }
     return shortest.value_or(duration::zero());
@@ -247,6 +251,7 @@
     auto const time_left = remaining_time(state, request, at);
     ++request.attempt_number;
     request.current_server = server.listed.id;
+    request.server_run = run_of(server);
     request.tried_servers.push_back(server.listed.id);
     request.attempt_started_at = at;
     request.buffered_head.reset();
@@ -361,11 +366,10 @@
                          ? error{error_kind::no_eligible_server,
                                  request.routed.service.value}
                          : request.last_failure;
-        auto const least =
-            std::max(state.options.min_retry_after,
-                     remaining_pause(state, request.routed.service, at));
-        fail_request(state, ctx, request, std::move(cause),
-                     jittered_retry_after(state, least));
+        fail_request(
+            state, ctx, request, std::move(cause),
+            shortest_pause(state, request.routed.service, at) +
+                jittered_retry_after(state, state.options.min_retry_after));
         return;
     }
     dispatch_attempt(state, ctx, request, *eligible.servers[choice->index],
--- a/source/services/entry/servers.cpp
+++ b/source/services/entry/servers.cpp
@@ -19,8 +19,6 @@
     server.ejected = false;
     server.consecutive_failures = 0;
     server.next_cold_send_at = {};
-    server.announced_leaving = false;
-    server.paused_until = {};
 }
 
 } // namespace
@@ -70,6 +68,11 @@
     return found == state.servers.end() ? nullptr : &found->second;
 }
 
+std::uint64_t run_of(backend_server const& server)
+{
+    return mix(server.hash, server.listed.born);
+}
+
 void record_server_failure(entry_state& state, backend_server& server,
                            time_point at, std::string_view reason)
 {
@@ -119,7 +122,7 @@
                           backend_server const& server, time_point at)
 {
     auto const fingerprint = request_fingerprint(request.routed);
-    auto const server_start = mix(server.hash, server.listed.born);
+    auto const server_start = run_of(server);
     if (!decisions::record_crash(state.crashes, fingerprint, server_start, at))
         return;
     count(state.telemetry_sink, counter::suspects_recorded);
@@ -135,7 +138,7 @@
                            backend_server const& server, time_point at)
 {
     decisions::prompt_crash const crash{
-        .server = mix(server.hash, server.listed.born),
+        .server = run_of(server),
         .at = at,
         .parts = decisions::unproven_parts(state.crashing_parts,
                                            request.routed.terms.prompt, at)};
--- a/tests/unit/services/entry/entry_test.cpp
+++ b/tests/unit/services/entry/entry_test.cpp
@@ -644,6 +644,18 @@
     submit(idempotent);
     BOOST_TEST((backend->sent.back().server != leaving));
     answer_last_attempt(200, "ok");
+    // Nor does an entry that expires and returns while the store is away.
+    auto const entry_of_leaving = deployment.servers[leaving];
+    deployment.servers.erase(leaving);
+    publish_deployment();
+    deployment.servers[leaving] = entry_of_leaving;
+    publish_deployment();
+    for (int i = 0; i < 20; ++i)
+    {
+        submit(idempotent);
+        BOOST_TEST((backend->sent.back().server != leaving));
+        answer_last_attempt(200, "ok");
+    }
     deployment.servers[leaving].born = 2;
     publish_deployment();
     std::set<server_id> used;
@@ -672,6 +684,7 @@
     BOOST_REQUIRE(last_caller().error);
     BOOST_TEST((last_caller().error->known == outcome::not_run));
     BOOST_TEST((last_caller().error->retry_after >= 2s));
+    BOOST_TEST((last_caller().error->retry_after < 3s));
     test_kernel.advance(2s);
     submit(non_idempotent, 2);
     BOOST_TEST(backend->sent.size() == sent + 1);
