Bound the crashes in one heartbeat

Found on review: up to 32 crashes of prompts with up to 64 parts each went into one heartbeat, which was then larger than receivers accept. They dropped it whole, with the loads and the revisions in it. The oldest crashes go first, as many as 256 parts allow, and the others follow in later rounds.

Test: heartbeats_with_crashes_of_long_prompts_are_accepted; it failed before.

--- a/source/services/peers/peers_service.cpp
+++ b/source/services/peers/peers_service.cpp
@@ -157,6 +157,32 @@
     }
 }
 
+/// Adds the oldest crashes to a heartbeat, as many as its size allows; the
+/// others follow in later rounds.
+void add_prompt_crashes(peers_state& state,
+                        decisions::peer_heartbeat& heartbeat)
+{
+    // 2 KiB, so that a heartbeat of a large fleet stays far below the size that
+    // receivers accept. A crash has at most 64 parts.
+    constexpr std::size_t max_parts = 256;
+    std::size_t parts = 0;
+    for (auto& pending : state.prompt_crashes)
+    {
+        auto const& crash = pending.crash;
+        parts += crash.parts.size();
+        if (parts > max_parts && !heartbeat.prompt_crashes.empty())
+            break;
+        heartbeat.prompt_crashes.push_back(
+            {.server = crash.server,
+             .age_ms = static_cast<std::uint32_t>(
+                 to_ms(now(*state.clock) - crash.at)),
+             .parts = crash.parts});
+        --pending.rounds_left;
+    }
+    std::erase_if(state.prompt_crashes, [](pending_prompt_crash const& pending)
+                  { return pending.rounds_left <= 0; });
+}
+
 /// Sends one round of heartbeats. Peers of the same domain receive the loads
 /// of this router, peers of other domains those of its whole domain.
 void handle_message(peers_state& state, context&, local_load_report report)
@@ -177,18 +203,7 @@
     }
     std::erase_if(state.suspects, [](pending_suspect const& suspect)
                   { return suspect.rounds_left <= 0; });
-    for (auto& pending : state.prompt_crashes)
-    {
-        auto const& crash = pending.crash;
-        heartbeat.prompt_crashes.push_back(
-            {.server = crash.server,
-             .age_ms = static_cast<std::uint32_t>(
-                 to_ms(now(*state.clock) - crash.at)),
-             .parts = crash.parts});
-        --pending.rounds_left;
-    }
-    std::erase_if(state.prompt_crashes, [](pending_prompt_crash const& pending)
-                  { return pending.rounds_left <= 0; });
+    add_prompt_crashes(state, heartbeat);
     auto const round =
         next_heartbeat_targets(state.rotation, state.options.rotation);
     heartbeat.loads = std::move(report.local);
--- a/tests/unit/services/peers/peers_service_test.cpp
+++ b/tests/unit/services/peers/peers_service_test.cpp
@@ -160,6 +160,36 @@
     BOOST_TEST(received_heartbeats.back().prompt_crashes.empty());
 }
 
+// Guards against heartbeats that no router accepts, as they are too large:
+// the loads and revisions in them would be lost too.
+BOOST_AUTO_TEST_CASE(heartbeats_with_crashes_of_long_prompts_are_accepted)
+{
+    constexpr std::size_t crashes = 32;
+    constexpr std::size_t parts = 64;
+    send_heartbeat({.from = {"r2"}, .started = 5, .sequence = 1});
+    run_until([this] { return fleet_size() == 2; });
+    for (std::uint64_t server = 1; server <= crashes; ++server)
+    {
+        decisions::prompt_crash crash{.server = server,
+                                      .at = now(test_kernel.clock())};
+        for (std::size_t part = 0; part < parts; ++part)
+            crash.parts.push_back(server << 32U | part);
+        send(peers, gossip_prompt_crash{std::move(crash)});
+    }
+    constexpr std::size_t rounds = 40;
+    for (std::size_t round = 0; round < rounds; ++round)
+        send(peers, local_load_report{.local = {{12, 1}}});
+    // Those that are too large are not decoded.
+    run_until([this] { return received_heartbeats.size() == rounds; });
+    std::set<std::uint64_t> reported;
+    for (auto const& heartbeat : received_heartbeats)
+    {
+        for (auto const& crash : heartbeat.prompt_crashes)
+            reported.insert(crash.server);
+    }
+    BOOST_TEST(reported.size() == crashes);
+}
+
 BOOST_AUTO_TEST_CASE(own_heartbeats_are_ignored)
 {
     send_heartbeat({.from = {"r1"}, .started = 5, .sequence = 1});
