--- a/tests/unit/services/router/fleet.cpp
+++ b/tests/unit/services/router/fleet.cpp
@@ -251,8 +251,10 @@
             // Drawn one by one: compilers evaluate arguments in orders of their
             // own, and the load would differ between them.
             auto const team = options.teams[random_team(fleet, options)];
+            auto router = options.router_first ? random_live_router(fleet) : 0;
             auto const chat = 1 + fleet.random() % options.chats;
-            auto const router = random_live_router(fleet);
+            if (!options.router_first)
+                router = random_live_router(fleet);
             submit(fleet, router,
                    {.team = team,
                     .service = options.service,
--- a/tests/unit/services/router/fleet.hpp
+++ b/tests/unit/services/router/fleet.hpp
@@ -175,6 +175,8 @@
     std::uint64_t chats = 500;
     request_kind kind = request_kind::idempotent;
     service_id service{"models"};
+    /// Draws the router of a request before its chat, which gives another load.
+    bool router_first = false;
 };
 void run_load(test_fleet& fleet, load_options const& options);
 
