Split the tests of the entry service and of the HTTP client

They are split by what they test: answers and retries, streams, servers, crashes and loads; and connections and answers. Fixtures shared by several files are in headers.

--- a/tests/unit/http/client_test.cpp
+++ b/tests/unit/http/client_test.cpp
@@ -1,228 +1,16 @@
-/// Tests of the HTTP client against a scripted server.
-#include "http/client.hpp"
-#include "raw_server.hpp"
-
-#include <boost/test/unit_test.hpp>
+/// Tests of the connections of the HTTP client: which are kept, when requests
+/// count as sent, and how they end.
+#include "client_fixture.hpp"
 
 #include <ctime>
-#include <optional>
 #include <thread>
 
 using namespace bramleyarch;
+using namespace bramleyarch::test;
 using namespace std::chrono_literals;
 using testing::ending;
 
-namespace
-{
-
-/// Collects what a client reports about its requests.
-struct recording
-{
-    std::vector<std::uint64_t> sent;
-    std::optional<http::response_head> head;
-    std::string body;
-    std::size_t ends = 0;
-    std::vector<http::response_failed> failures;
-
-    [[nodiscard]] bool over() const
-    {
-        return ends + failures.size() > 0;
-    }
-};
-
-void record(recording& into, http::client_event event)
-{
-    if (auto* e = std::get_if<http::request_sent>(&event))
-        into.sent.push_back(e->id);
-    if (auto* e = std::get_if<http::response_head>(&event))
-        into.head = std::move(*e);
-    if (auto* e = std::get_if<http::response_bytes>(&event))
-        into.body += e->bytes;
-    if (std::holds_alternative<http::response_end>(event))
-        ++into.ends;
-    if (auto* e = std::get_if<http::response_failed>(&event))
-        into.failures.push_back(std::move(*e));
-}
-
-struct fixture
-{
-    recording seen;
-    std::vector<http::server_checked> checked;
-    http::client_ptr client =
-        http::make_client({.on_event = [this](http::client_event e)
-                           { record(seen, std::move(e)); },
-                           .on_checked = [this](http::server_checked found)
-                           { checked.push_back(found); }})
-            .value();
-
-    template <class Condition>
-    void run_until(Condition done)
-    {
-        auto const limit = std::chrono::steady_clock::now() + 20s;
-        while (!done() && std::chrono::steady_clock::now() < limit)
-            http::wait(*client, 100ms);
-        BOOST_REQUIRE(done());
-    }
-
-    /// Runs for `time`, to see that nothing more happens.
-    void run_for(duration time)
-    {
-        auto const limit = std::chrono::steady_clock::now() + time;
-        while (std::chrono::steady_clock::now() < limit)
-            http::wait(*client, limit - std::chrono::steady_clock::now());
-    }
-
-    void finish()
-    {
-        run_until([this] { return seen.over(); });
-        run_for(10ms);
-        BOOST_TEST(seen.ends + seen.failures.size() == 1U);
-    }
-};
-
-http::client_request request_to(std::uint16_t port, std::string body = "order")
-{
-    return {
-        .id = 7,
-        .to = {"127.0.0.1", port},
-        .method = "POST",
-        .target = "/v1/book?bin=4%2F5",
-        .headers = {{"content-type", "text/plain"}, {"idempotency-key", "k1"}},
-        .body = std::make_shared<std::string const>(std::move(body))};
-}
-
-std::string chunk(std::string const& bytes)
-{
-    std::array<char, 16> size{};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
-    return size.data() + bytes + "\r\n";
-}
-
-std::string const chunked_head =
-    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
-    "transfer-encoding: chunked\r\n\r\n";
-
-} // namespace
-
-BOOST_FIXTURE_TEST_SUITE(http_client, fixture)
-
-BOOST_AUTO_TEST_CASE(answer_with_length_is_whole)
-{
-    testing::raw_server server{{.parts = {testing::plain_answer("booked")}}};
-    http::open(*client, request_to(server.port()));
-    finish();
-    BOOST_TEST(seen.ends == 1U);
-    BOOST_TEST(seen.sent.size() == 1U);
-    BOOST_REQUIRE(seen.head);
-    BOOST_TEST(seen.head->status == 200);
-    BOOST_TEST(seen.body == "booked");
-    auto const found =
-        std::find_if(seen.head->headers.begin(), seen.head->headers.end(),
-                     [](auto const& h) { return h.name == "x-bramley-test"; });
-    BOOST_REQUIRE((found != seen.head->headers.end()));
-    BOOST_TEST(found->value == "yes");
-    auto const request = server.requests().at(0);
-    BOOST_TEST_MESSAGE(request);
-    BOOST_TEST(request.starts_with("POST /v1/book?bin=4%2F5 HTTP/1.1\r\n"));
-    BOOST_TEST(request.ends_with("\r\n\r\norder"));
-    BOOST_TEST((request.find("idempotency-key: k1") != std::string::npos));
-}
-
-BOOST_AUTO_TEST_CASE(large_bodies_pass_both_ways)
-{
-    std::string const large(3'000'000, 'b');
-    testing::raw_server server{{.parts = {testing::plain_answer(large)}}};
-    http::open(*client, request_to(server.port(), large));
-    finish();
-    BOOST_TEST(seen.ends == 1U);
-    BOOST_TEST((seen.body == large));
-    BOOST_TEST(server.requests().at(0).ends_with(large));
-}
-
-BOOST_AUTO_TEST_CASE(chunked_answer_is_whole)
-{
-    testing::raw_server server{{.parts = {chunked_head, chunk("data: a\n\n"),
-                                          chunk("data: b\n\n") + "0\r\n\r\n"},
-                                .then = ending::hold}};
-    http::open(*client, request_to(server.port()));
-    finish();
-    BOOST_TEST(seen.ends == 1U);
-    BOOST_TEST(seen.body == "data: a\n\ndata: b\n\n");
-}
-
-BOOST_AUTO_TEST_CASE(chunked_answer_cut_anywhere_fails)
-{
-    std::string const whole =
-        chunked_head + chunk("data: a\n\n") + chunk("data: b\n\n") + "0\r\n";
-    for (auto const then : {ending::close, ending::reset})
-    {
-        for (std::size_t length = 0; length < whole.size(); ++length)
-        {
-            seen = {};
-            testing::raw_server server{
-                {.parts = {whole.substr(0, length)}, .then = then}};
-            http::open(*client, request_to(server.port()));
-            finish();
-            BOOST_TEST(seen.ends == 0U, "cut after " << length);
-        }
-    }
-}
-
-BOOST_AUTO_TEST_CASE(chunked_answer_in_single_bytes_is_whole)
-{
-    std::string const whole = chunked_head + chunk("data: a\n\n") + "0\r\n\r\n";
-    std::vector<std::string> parts;
-    for (char const c : whole)
-        parts.emplace_back(1, c);
-    testing::raw_server server{{.parts = parts}};
-    http::open(*client, request_to(server.port()));
-    finish();
-    BOOST_TEST(seen.ends == 1U);
-    BOOST_TEST(seen.body == "data: a\n\n");
-}
-
-BOOST_AUTO_TEST_CASE(answer_with_length_cut_anywhere_fails)
-{
-    for (auto const then : {ending::close, ending::reset})
-    {
-        auto const whole = testing::plain_answer("booked");
-        for (std::size_t length = 0; length < whole.size(); ++length)
-        {
-            seen = {};
-            testing::raw_server server{
-                {.parts = {whole.substr(0, length)}, .then = then}};
-            http::open(*client, request_to(server.port()));
-            finish();
-            BOOST_TEST(seen.ends == 0U, "cut after " << length);
-        }
-    }
-}
-
-BOOST_AUTO_TEST_CASE(answer_that_ends_by_close_is_whole)
-{
-    testing::raw_server server{
-        {.parts = {"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n", "all"}}};
-    http::open(*client, request_to(server.port()));
-    finish();
-    BOOST_TEST(seen.ends == 1U);
-    BOOST_TEST(seen.body == "all");
-}
-
-BOOST_AUTO_TEST_CASE(answers_without_body_are_whole)
-{
-    for (std::string const head :
-         {"HTTP/1.1 204 No Content\r\n\r\n",
-          "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
-          "HTTP/1.1 302 Found\r\nlocation: /x\r\ncontent-length: 0\r\n\r\n"})
-    {
-        seen = {};
-        testing::raw_server server{{.parts = {head}, .then = ending::hold}};
-        http::open(*client, request_to(server.port()));
-        finish();
-        BOOST_TEST(seen.ends == 1U, head);
-        BOOST_TEST(server.requests().size() == 1U);
-    }
-}
+BOOST_FIXTURE_TEST_SUITE(http_client, client_fixture)
 
 BOOST_AUTO_TEST_CASE(
     a_request_is_sent_once_when_the_server_closes_after_reading)
@@ -320,15 +108,6 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(an_unframed_answer_that_is_reset_is_not_whole)
-{
-    testing::raw_server server{
-        {.parts = {"HTTP/1.1 200 OK\r\n\r\n", "part"}, .then = ending::reset}};
-    http::open(*client, request_to(server.port()));
-    finish();
-    BOOST_TEST(seen.ends == 0U);
-}
-
 BOOST_AUTO_TEST_CASE(a_check_tells_whether_a_server_can_be_reached)
 {
     std::uint16_t gone = 0;
@@ -445,46 +224,6 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(malformed_answers_fail)
-{
-    for (std::string const text :
-         {"nonsense\r\n\r\n", "HTTP/1.1 abc\r\n\r\n", "\r\n\r\n",
-          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n"})
-    {
-        seen = {};
-        testing::raw_server server{{.parts = {text}}};
-        http::open(*client, request_to(server.port()));
-        finish();
-        BOOST_TEST(seen.ends == 0U, text);
-    }
-}
-
-// Guards against a server whose bytes have no end, wherever they are.
-BOOST_AUTO_TEST_CASE(heads_without_end_fail)
-{
-    std::string const head = "HTTP/1.1 200 OK\r\n";
-    auto const repeat = [](std::string const& text)
-    {
-        std::string repeated;
-        while (repeated.size() < (1U << 20))
-            repeated += text;
-        return repeated;
-    };
-    for (auto const& endless :
-         {repeat("x"), head + repeat("a: b\r\n"), head + "a: " + repeat("b"),
-          "HTTP/1.1 200 " + repeat("OK"),
-          repeat("HTTP/1.1 100 Continue\r\n\r\n"),
-          chunked_head + "0\r\n" + repeat("a: b\r\n"),
-          chunked_head + "1;" + repeat("e"), chunked_head + repeat("0")})
-    {
-        seen = {};
-        testing::raw_server server{{.parts = {endless}, .then = ending::hold}};
-        http::open(*client, request_to(server.port()));
-        finish();
-        BOOST_TEST(seen.failures.size() == 1U, endless.substr(0, 80));
-    }
-}
-
 BOOST_AUTO_TEST_CASE(many_streams_run_at_once)
 {
     constexpr std::uint64_t count = 300;
--- /dev/null
+++ b/tests/unit/services/entry/crash_test.cpp
@@ -0,0 +1,151 @@
+/// Tests of requests that crash servers, in the entry service.
+#include "fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bramleyarch;
+using namespace bramleyarch::test;
+
+BOOST_FIXTURE_TEST_SUITE(entry, two_server_fixture)
+
+// Guards against a prompt part that crashes one server after the other: the
+// requests with it have no body in common.
+BOOST_AUTO_TEST_CASE(requests_with_a_part_that_crashes_servers_are_refused)
+{
+    request_terms const crashing{.streaming = true,
+                                 .prompt = {{5, 900}, {6, 300}, {7, 20}}};
+    request_terms const sound{.streaming = true, .prompt = {{5, 900}, {8, 20}}};
+    distinct_targets = true;
+    for (std::uint64_t born = 1; born <= 3; ++born)
+    {
+        // Each server starts again after its crash.
+        for (auto& [id, server] : deployment.servers)
+            server.born = born;
+        publish_deployment();
+        submit(non_idempotent, 1, crashing);
+        BOOST_TEST(backend->sent.size() == born);
+        fail_last_attempt(true);
+        test_kernel.advance(1s);
+    }
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).size() >= 3U);
+
+    submit(non_idempotent, 1, crashing);
+    BOOST_TEST(backend->sent.size() == 3U);
+    BOOST_REQUIRE(last_caller().error);
+    BOOST_TEST((last_caller().error->cause.kind == error_kind::quarantined));
+    BOOST_TEST((last_caller().error->known == outcome::not_run));
+    BOOST_TEST((last_caller().error->retry_after > 0s));
+
+    submit(non_idempotent, 1, sound);
+    BOOST_TEST(backend->sent.size() == 4U);
+    answer_last_attempt(200, std::string(300, 'x') + "\n\n");
+    BOOST_TEST(last_caller().ended);
+}
+
+// Guards against more crashes by requests that were sent before the part was
+// known to crash servers.
+BOOST_AUTO_TEST_CASE(unanswered_requests_with_a_crashing_part_are_ended)
+{
+    request_terms const crashing{.streaming = true,
+                                 .prompt = {{6, 300}, {7, 20}}};
+    submit(non_idempotent, 1, crashing);
+    for (std::uint64_t server = 1; server <= 3; ++server)
+    {
+        BOOST_TEST(backend->aborted.empty());
+        send(entry, peer_prompt_crash_received{{.server = server,
+                                                .at = now(test_kernel.clock()),
+                                                .parts = {6}}});
+        test_kernel.advance(300ms);
+    }
+    BOOST_TEST(backend->aborted.size() == 1U);
+    BOOST_REQUIRE(last_caller().error);
+    // A server may have begun to run it.
+    BOOST_TEST((last_caller().error->known == outcome::unknown));
+}
+
+// Guards against a process that ends because more parts are suspected than it
+// keeps.
+BOOST_AUTO_TEST_CASE(crash_of_more_parts_than_are_kept_is_handled)
+{
+    std::uint64_t part = 100;
+    decisions::prompt_crash many{.server = 1, .at = now(test_kernel.clock())};
+    while (many.parts.size() + 1 <
+           decisions::crashing_parts_options{}.max_suspects)
+        many.parts.push_back(++part);
+    send(entry, peer_prompt_crash_received{many});
+    test_kernel.run_until_idle();
+    submit(non_idempotent, 1,
+           {.streaming = true, .prompt = {{5, 9}, {6, 9}, {7, 9}}});
+    fail_last_attempt(true);
+    BOOST_TEST(last_caller().error.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(server_that_crashes_during_an_answer_suspects_no_part)
+{
+    submit(non_idempotent, 1,
+           {.streaming = true, .prompt = {{6, 300}, {7, 20}}});
+    auto const id = backend->sent.back().attempt;
+    deliver(backend_send_started{id});
+    deliver(backend_head{id, 200, {}});
+    deliver(backend_chunk{id, "data"});
+    deliver(backend_failed{.attempt = id,
+                           .cause = {error_kind::server_closed, "reset"},
+                           .sent = true});
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).empty());
+}
+
+// A server's own error is no proof: it may be sent before the prompt is read.
+BOOST_AUTO_TEST_CASE(error_of_a_server_clears_no_part)
+{
+    request_terms const crashing{.streaming = true,
+                                 .prompt = {{6, 300}, {7, 20}}};
+    for (std::uint64_t server = 1; server <= 3; ++server)
+    {
+        send(entry, peer_prompt_crash_received{{.server = server,
+                                                .at = now(test_kernel.clock()),
+                                                .parts = {6, 9}}});
+        test_kernel.advance(1s);
+    }
+    submit(non_idempotent, 1, crashing);
+    answer_last_attempt(504, std::string(300, 'x'));
+    submit(non_idempotent, 1,
+           {.streaming = true, .prompt = {{6, 300}, {9, 30}, {7, 20}}});
+    BOOST_REQUIRE(last_caller().error);
+    BOOST_TEST((last_caller().error->cause.kind == error_kind::quarantined));
+}
+
+// Guards against a crash that passes for an idle connection which the server
+// had closed: it was never suspected, and the crashed server was tried again.
+BOOST_AUTO_TEST_CASE(
+    kept_connection_that_closes_late_is_a_failure_of_the_server)
+{
+    submit(idempotent, 2, {.streaming = true, .prompt = {{6, 300}, {7, 20}}});
+    auto const server = backend->sent.back().server;
+    test_kernel.advance(60ms);
+    fail_last_attempt(true, true);
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).size() == 1U);
+    BOOST_REQUIRE(backend->sent.size() == 2U);
+    BOOST_TEST((backend->sent.back().server != server));
+}
+
+BOOST_AUTO_TEST_CASE(new_crash_of_a_part_is_forwarded_once)
+{
+    for (int i = 0; i < 3; ++i)
+        send(entry,
+             peer_prompt_crash_received{
+                 {.server = 8, .at = now(test_kernel.clock()), .parts = {6}}});
+    test_kernel.run_until_idle();
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).size() == 1U);
+}
+
+/// Forwarding makes a suspect reach routers that do not receive the heartbeats
+/// of the router that reported it.
+BOOST_AUTO_TEST_CASE(new_suspect_is_forwarded_once)
+{
+    for (int i = 0; i < 3; ++i)
+        send(entry, peer_suspect_received{.fingerprint = 7, .server_hash = 8});
+    test_kernel.run_until_idle();
+    BOOST_TEST(received<gossip_suspect>(*peers).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/services/entry/fixture.hpp
+++ b/tests/unit/services/entry/fixture.hpp
@@ -211,4 +211,23 @@
     bool distinct_targets = false;
 };
 
+constexpr auto idempotent = request_kind::idempotent;
+constexpr auto non_idempotent = request_kind::non_idempotent;
+
+/// An entry service with the servers s1 and s2.
+struct two_server_fixture : entry_fixture
+{
+    two_server_fixture()
+    {
+        add_server("s1");
+        add_server("s2");
+        publish_deployment();
+    }
+
+    caller& last_caller()
+    {
+        return *callers.back();
+    }
+};
+
 } // namespace bramleyarch::test
