--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -466,23 +466,6 @@
     remove_request(state, ctx, request);
 }
 
-void end_refused_requests(entry_state& state, entry_context& ctx)
-{
-    if (state.crashing_parts.suspects.empty())
-        return;
-    std::vector<request_id> refused;
-    for (auto const& [id, request] : state.requests)
-    {
-        if (request.attempt_bytes == 0 &&
-            request.stage == request_stage::awaiting_answer &&
-            decisions::should_refuse(state.crashing_parts,
-                                     request.routed.terms.prompt))
-            refused.push_back(id);
-    }
-    for (auto const& id : refused)
-        refuse_crashing_request(state, ctx, state.requests.at(id));
-}
-
 void remove_request(entry_state& state, entry_context& ctx,
                     entry_request& request)
 {
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -376,17 +376,6 @@
                      *choice);
 }
 
-void refuse_crashing_request(entry_state& state, entry_context& ctx,
-                             entry_request& request)
-{
-    count(state.telemetry_sink, counter::quarantines);
-    fail_request(state, ctx, request,
-                 {error_kind::quarantined,
-                  "the request, or requests that share a part of its prompt, "
-                  "were in flight when several servers crashed"},
-                 state.options.quarantine_retry_after);
-}
-
 void abort_current_attempt(entry_state& state, entry_context& ctx,
                            entry_request& request)
 {
