Test that a body without end is bounded; name parts in the remedy

A body that has no end, in an answer that is no stream, was bounded already: up to 256 KiB are collected, the rest goes by the caller's credit and ends with the request. The remedy of a quarantined request now names parts of prompts too.

--- a/source/common/error.cpp
+++ b/source/common/error.cpp
@@ -43,7 +43,8 @@
      "retry later; operators: add or return a backend server"},
     {k::retry_budget_exhausted, 503, "retry after the stated time"},
     {k::quarantined, 422,
-     "change the request; this body was in flight on servers that died"},
+     "change the request; it, or a part of its prompt, was in flight on "
+     "servers that died"},
     {k::draining, 503, "retry; another instance will serve it"},
     {k::not_ready, 503, "retry; the instance has no configuration yet"},
     {k::server_connect_failed, 502, "retry"},
--- a/source/decisions/event_cursor.hpp
+++ b/source/decisions/event_cursor.hpp
@@ -15,7 +15,8 @@
 /// Position after the last complete event of a stream.
 struct event_cursor
 {
-    /// Bytes of an incomplete event.
+    /// Bytes of an incomplete event. Their number is not limited here: the user
+    /// of the cursor gives up an event that is too long.
     std::string partial;
     std::optional<std::uint64_t> last_id; ///< Id of the last complete event.
     /// The bytes passed by `follow_events` end inside an event.
--- a/tests/unit/services/entry/entry_test.cpp
+++ b/tests/unit/services/entry/entry_test.cpp
@@ -143,6 +143,28 @@
     BOOST_TEST(backend->sent.size() == 3U);
 }
 
+// Guards against a server whose bytes have no end, in an answer that is no
+// stream: they are passed on as the caller takes them, and end with the
+// request.
+BOOST_AUTO_TEST_CASE(body_without_end_is_aborted_at_the_deadline)
+{
+    submit(idempotent, 2);
+    auto const id = backend->sent.back().attempt;
+    deliver(backend_send_started{id});
+    deliver(backend_head{id, 200, {}});
+    std::size_t sent = 0;
+    for (; sent < (1U << 20); sent += 64U << 10)
+        deliver(backend_chunk{id, std::string(64U << 10, 'x')});
+    // Up to 256 KiB are collected; all that is passed on goes by credit.
+    BOOST_TEST(last_caller().body.size() == sent);
+    BOOST_TEST(backend->granted <= (256U << 10));
+    test_kernel.advance(3s);
+    BOOST_TEST(backend->aborted.size() == 1U);
+    BOOST_TEST(!last_caller().ended);
+    BOOST_REQUIRE(last_caller().error);
+    BOOST_TEST((last_caller().error->known == outcome::failed));
+}
+
 BOOST_AUTO_TEST_CASE(cancelled_request_is_aborted_at_its_server)
 {
     auto const index = submit(non_idempotent);
--- a/tests/unit/services/entry/fixture.hpp
+++ b/tests/unit/services/entry/fixture.hpp
@@ -26,6 +26,7 @@
     std::vector<dispatch> sent;
     std::vector<attempt_id> aborted;
     std::vector<server_id> probed;
+    std::uint64_t granted = 0; ///< Bytes of answers that may be read further.
 };
 
 struct fake_backend_state
@@ -41,6 +42,8 @@
         state.received->sent.push_back(std::move(*sent));
     if (auto* aborted = std::get_if<abort_attempt>(&message))
         state.received->aborted.push_back(aborted->attempt);
+    if (auto* grant = std::get_if<grant_backend_credit>(&message))
+        state.received->granted += grant->bytes;
     if (auto* probe = std::get_if<probe_server>(&message))
         state.received->probed.push_back(probe->server);
 }
