Read shared limits that are fractions

Cause: where a deployment is played at a part of its size, its retry slack is a fraction (33.158), and the settings took whole numbers only; no router started. Change: all limits of the section [shared] are decimals.

--- a/source/config/settings.cpp
+++ b/source/config/settings.cpp
@@ -204,19 +204,23 @@
 
 shared_limit_settings shared_of(reading const& r)
 {
-    auto const number = [&](auto key)
-    { return number_of(r, section::shared, key); };
     auto const decimal = [&](auto key)
     { return decimal_of(r, section::shared, key); };
     auto const seconds = [&](auto key)
-    { return std::chrono::seconds{number(key)}; };
+    {
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>{decimal(key)});
+    };
     auto const milliseconds = [&](auto key)
-    { return std::chrono::milliseconds{number(key)}; };
+    {
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double, std::milli>{decimal(key)});
+    };
     return {.retry_ratio = decimal("retry_ratio"),
-            .retry_slack = number("retry_slack"),
+            .retry_slack = decimal("retry_slack"),
             .retry_window = seconds("retry_window_s"),
             .cold_overage = decimal("cold_overage"),
-            .cold_slack = number("cold_slack"),
+            .cold_slack = decimal("cold_slack"),
             .stop_limit = seconds("stop_limit_s"),
             .load_factor = decimal("load_factor"),
             .leaving_limit = milliseconds("leaving_limit_ms"),
--- a/source/config/settings.hpp
+++ b/source/config/settings.hpp
@@ -110,12 +110,12 @@
 /// Limits that hold for all routers together; only in mode `store`.
 struct shared_limit_settings
 {
-    double retry_ratio = 0;        ///< Repeats for each request.
-    std::uint32_t retry_slack = 0; ///< Repeats beyond that in the window.
+    double retry_ratio = 0; ///< Repeats for each request.
+    double retry_slack = 0; ///< Repeats beyond that in the window.
     duration retry_window{};
-    double cold_overage = 0;      ///< Times a cold server's stated rate.
-    std::uint32_t cold_slack = 0; ///< Requests a second beyond that.
-    duration stop_limit{};        ///< From the signal to the forced end.
+    double cold_overage = 0;  ///< Times a cold server's stated rate.
+    double cold_slack = 0;    ///< Requests a second beyond that.
+    duration stop_limit{};    ///< From the signal to the forced end.
     double load_factor = 0;   ///< Times the mean load that a server may have.
     duration leaving_limit{}; ///< From a leave until no request follows it.
     duration rules_limit{};   ///< From new rules until they are in force.
--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -82,6 +82,23 @@
     BOOST_TEST(!faults_of(valid + "[limits]\nmax_connections =\n").empty());
 }
 
+// Guards against a router that does not start where a limit is a fraction, as
+// in a deployment that is played at a part of its size.
+BOOST_AUTO_TEST_CASE(shared_limits_may_be_fractions)
+{
+    auto const parsed =
+        parse_settings(valid + "[shared]\nretry_slack = 33.1578947368421\n"
+                               "cold_slack = 2.5\nstop_limit_s = 7.5\n"
+                               "leaving_limit_ms = 1500.5\n",
+                       "r1.ini");
+    BOOST_TEST_REQUIRE(describe(parsed.faults) == "");
+    auto const& shared = parsed.value.shared;
+    BOOST_TEST(shared.retry_slack == 33.1578947368421);
+    BOOST_TEST(shared.cold_slack == 2.5);
+    BOOST_TEST((shared.stop_limit == 7500ms));
+    BOOST_TEST((shared.leaving_limit == 1500500us));
+}
+
 BOOST_AUTO_TEST_CASE(every_default_is_valid)
 {
     for (auto const& row : setting_rows())
