Take no answer for whole that stops in or right after its head

Cause: an unframed answer that was closed right after its head counted as whole and empty; a part of a head on a kept connection passed for an idle connection that the server had closed, so that its failure did not count. Bytes beyond a stated length reached the caller, who takes them for the next answer. Change: the client fails such answers and says how far they had come; the server cuts an answer before it exceeds its length. Measured: answer_that_stops_in_or_after_its_head_fails and answer_beyond_its_stated_length_is_cut_before_it.

--- a/source/http/client.hpp
+++ b/source/http/client.hpp
@@ -2,6 +2,7 @@
 /// pressure. Connections are kept per server, one request at a time on each.
 #pragma once
 
+#include "common/answer_progress.hpp"
 #include "common/error.hpp"
 #include "common/ids.hpp"
 #include "common/request.hpp"
@@ -72,6 +73,7 @@
     bool sent = true; ///< False: no byte of the request can have left.
     /// It went on a kept connection and no byte of an answer came.
     bool kept_connection = false;
+    answer_progress progress = answer_progress::none;
 };
 
 /// What a check of a server found.
--- a/source/http/client_io.cpp
+++ b/source/http/client_io.cpp
@@ -143,6 +143,22 @@
     keep(c, s);
 }
 
+/// Returns whether the server closed right after the head of an answer whose
+/// end is the end of its connection. It may have stopped there, so the answer
+/// does not count as whole.
+bool is_cut_after_head(server_connection const& s)
+{
+    return ends_by_close(s.parser) && s.body_bytes == 0;
+}
+
+answer_progress progress_of(server_connection const& s)
+{
+    if (s.stage == stream_stage::answering)
+        return answer_progress::in_body;
+    return s.parser.head_bytes > 0 ? answer_progress::in_head
+                                   : answer_progress::none;
+}
+
 bool on_head(client& c, server_connection& s, message_head const& head)
 {
     s.stage = stream_stage::answering;
@@ -161,6 +177,7 @@
 void on_body(client& c, server_connection& s, std::string_view bytes)
 {
     s.credit -= std::min<std::uint64_t>(s.credit, bytes.size());
+    s.body_bytes += bytes.size();
     report(c, response_bytes{.id = s.request.id, .bytes = std::string{bytes}});
 }
 
@@ -195,8 +212,9 @@
         s.peer_closed = true;
         if (!s.held.empty())
             return;
+        bool const is_cut = is_cut_after_head(s);
         parse_end(s.parser);
-        if (s.parser.state == parse_state::complete)
+        if (s.parser.state == parse_state::complete && !is_cut)
         {
             finish(c, s);
             return;
@@ -317,6 +335,7 @@
 {
     s.stage = stream_stage::sending;
     s.active_at = net::clock_now();
+    s.body_bytes = 0;
     s.parser.without_body = s.request.method == "HEAD";
     arm(c, s);
     report(c, request_sent{s.request.id});
@@ -371,11 +390,13 @@
         drop(c, s);
         return;
     }
+    auto const progress = progress_of(s);
     report(c, response_failed{.id = s.request.id,
                               .cause = std::move(cause),
                               .sent = s.stage != stream_stage::connecting,
                               .kept_connection =
-                                  s.kept && s.stage == stream_stage::sending});
+                                  s.kept && progress == answer_progress::none,
+                              .progress = progress});
     drop(c, s);
 }
 
--- a/source/http/client_io.hpp
+++ b/source/http/client_io.hpp
@@ -38,6 +38,7 @@
     stream_stage stage = stream_stage::connecting;
     time_point active_at{}; ///< Last byte, or start.
     std::uint64_t credit = 0;
+    std::uint64_t body_bytes = 0; ///< Of the current answer.
     std::string held; ///< Received and not handed out for want of credit.
     bool peer_closed = false; ///< While bytes are held.
     bool paused = false;
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -135,6 +135,13 @@
     c->body_total += bytes.size();
     if (c->bodyless)
         return;
+    // A caller takes the bytes beyond the length for the next answer.
+    if (c->start->length && c->body_total > *c->start->length)
+    {
+        report(s, caller_left{id});
+        drop(s, *c);
+        return;
+    }
     if (c->body_queued == 0)
         restart_timer(s, *c);
     c->body_queued += bytes.size();
--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -133,7 +133,8 @@
 };
 
 /// Starts, continues and ends an answer; unknown exchanges are ignored. An
-/// answer whose bytes differ from its stated length is aborted.
+/// answer whose bytes differ from its stated length is aborted; `caller_left`
+/// follows if they exceed it.
 void start_answer(server& s, exchange_id id, answer_start start);
 void send_bytes(server& s, exchange_id id, std::string_view bytes);
 void end_answer(server& s, exchange_id id);
--- a/source/services/backend/backend_service.cpp
+++ b/source/services/backend/backend_service.cpp
@@ -37,7 +37,8 @@
 }
 
 void fail_attempt(backend_state& state, std::uint64_t id, error cause,
-                  bool sent, bool kept_connection = false)
+                  bool sent, bool kept_connection = false,
+                  answer_progress progress = answer_progress::none)
 {
     count_failure(state, cause.kind);
     auto const attempt = state.attempts.at(id).attempt;
@@ -45,7 +46,8 @@
     state.send_event(backend_failed{.attempt = attempt,
                                     .cause = std::move(cause),
                                     .sent = sent,
-                                    .kept_connection = kept_connection});
+                                    .kept_connection = kept_connection,
+                                    .progress = progress});
 }
 
 void handle_event(backend_state& state, http::request_sent const& event)
@@ -80,7 +82,7 @@
 void handle_event(backend_state& state, http::response_failed event)
 {
     fail_attempt(state, event.id, std::move(event.cause), event.sent,
-                 event.kept_connection);
+                 event.kept_connection, event.progress);
 }
 
 void handle_probe_result(backend_state& state,
--- a/source/services/messages/owner.hpp
+++ b/source/services/messages/owner.hpp
@@ -3,6 +3,7 @@
 /// messages travel over a fleet link.
 #pragma once
 
+#include "common/answer_progress.hpp"
 #include "common/counters.hpp"
 #include "common/request.hpp"
 #include "services/messages/shared.hpp"
@@ -118,6 +119,7 @@
     /// answer. The server may have closed the connection before the request
     /// arrived.
     bool kept_connection = false;
+    answer_progress progress = answer_progress::none;
 };
 
 /// Reply to `probe_server`: whether a connection could be established.
--- a/tests/unit/http/client_answer_test.cpp
+++ b/tests/unit/http/client_answer_test.cpp
@@ -152,6 +152,49 @@
     }
 }
 
+// Guards against a 200 that is made of an answer which stopped in its head, or
+// right after it: without length or chunks, only its close says that it is
+// whole.
+BOOST_AUTO_TEST_CASE(answer_that_stops_in_or_after_its_head_fails)
+{
+    std::string const status = "HTTP/1.1 200 OK\r\n";
+    for (bool const kept : {false, true})
+    {
+        for (std::string const& text :
+             {std::string{"HTTP/1.1 2"}, status, status + "x-a: b",
+              status + "x-a: b\r\n", status + "content-length:\r\n\r\n",
+              status + "content-length: 9\r\n\r\n",
+              status + "content-length: 9\r\n\r\npart", chunked_head,
+              chunked_head + "1", chunked_head + "9\r\n", status + "\r\n",
+              status + "connection: close\r\n\r\n"})
+        {
+            seen = {};
+            testing::raw_server server{
+                {.parts = {text},
+                 .replies = {{.when = "first",
+                              .parts = {testing::plain_answer("one")},
+                              .then = ending::keep}}}};
+            auto request = request_to(server.port(), "first");
+            request.may_reuse = true;
+            if (kept)
+            {
+                http::open(*client, request);
+                finish();
+                seen = {};
+            }
+            request.body = std::make_shared<std::string const>("order");
+            http::open(*client, std::move(request));
+            finish();
+            BOOST_TEST(seen.ends == 0U, text << " kept " << kept);
+            BOOST_REQUIRE(seen.failures.size() == 1U);
+            BOOST_TEST(seen.failures[0].sent);
+            // A part of an answer shows that the request has arrived.
+            BOOST_TEST(!seen.failures[0].kept_connection,
+                       text << " kept " << kept);
+        }
+    }
+}
+
 // Guards against a server whose bytes have no end, wherever they are.
 BOOST_AUTO_TEST_CASE(heads_without_end_fail)
 {
--- a/tests/unit/http/raw_server.cpp
+++ b/tests/unit/http/raw_server.cpp
@@ -133,21 +133,61 @@
     ++server.closed_by_peer;
 }
 
-void serve(raw_server::impl& server, tcp::socket& socket)
+std::string request_id_of(std::string const& request)
+{
+    std::string const name = "x-bramleyarch-request-id: ";
+    auto const at = request.find(name);
+    if (at == std::string::npos)
+        return {};
+    auto const begin = at + name.size();
+    return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+void write_part(tcp::socket& socket, std::string part, std::string const& id)
+{
+    std::string const placeholder = "{id}";
+    for (auto at = part.find(placeholder); at != std::string::npos;
+         at = part.find(placeholder))
+        part.replace(at, placeholder.size(), id);
+    boost::system::error_code failed;
+    asio::write(socket, asio::buffer(part), failed);
+}
+
+/// Reads a request, if the script says so, and answers it.
+ending serve_once(raw_server::impl& server, tcp::socket& socket)
 {
+    std::string request;
     if (server.script.read_request)
     {
-        auto request = read_request(socket);
+        request = read_request(socket);
+        if (!is_whole(request))
+            return ending::close;
         std::lock_guard const lock{server.mutex};
-        server.requests.push_back(std::move(request));
+        server.requests.push_back(request);
     }
-    boost::system::error_code failed;
-    for (auto const& part : server.script.parts)
-        asio::write(socket, asio::buffer(part), failed);
-    if (server.script.then == ending::hold)
+    raw_reply reply{.parts = server.script.parts, .then = server.script.then};
+    for (auto const& candidate : server.script.replies)
+    {
+        if (request.find(candidate.when) == std::string::npos)
+            continue;
+        reply = candidate;
+        break;
+    }
+    for (auto const& part : reply.parts)
+        write_part(socket, part, request_id_of(request));
+    return reply.then;
+}
+
+void serve(raw_server::impl& server, tcp::socket& socket)
+{
+    auto then = serve_once(server, socket);
+    while (then == ending::keep)
+        then = serve_once(server, socket);
+    if (then == ending::hold)
         hold(server, socket);
+    boost::system::error_code failed;
     std::lock_guard const lock{server.mutex};
-    if (server.script.then == ending::reset)
+    if (then == ending::reset)
         socket.set_option(asio::socket_base::linger{true, 0}, failed);
     else
         socket.shutdown(tcp::socket::shutdown_both, failed);
--- a/tests/unit/http/raw_server.hpp
+++ b/tests/unit/http/raw_server.hpp
@@ -15,6 +15,16 @@
     close, ///< Orderly close after the last byte.
     reset, ///< RST after the last byte.
     hold,  ///< Stay open and silent until the peer closes.
+    keep,  ///< Read the next request.
+};
+
+/// What is written in answer to a request. `{id}` in a part stands for the
+/// value of the request's header `x-bramleyarch-request-id`.
+struct raw_reply
+{
+    std::string when{}; ///< Text that the request contains.
+    std::vector<std::string> parts{};
+    ending then = ending::close;
 };
 
 struct raw_script
@@ -22,6 +32,8 @@
     bool read_request = true; ///< False: write and end at once.
     std::vector<std::string> parts{};
     ending then = ending::close;
+    /// The first one that fits a request goes before `parts` and `then`.
+    std::vector<raw_reply> replies{};
 };
 
 class raw_server
--- a/tests/unit/http/server_test.cpp
+++ b/tests/unit/http/server_test.cpp
@@ -434,6 +434,22 @@
     BOOST_TEST(caller.received.ends_with("event: error\r\n"));
 }
 
+// Guards against bytes that a caller takes for the next answer, and against a
+// cut answer that has its stated length.
+BOOST_AUTO_TEST_CASE(answer_beyond_its_stated_length_is_cut_before_it)
+{
+    raw_caller caller{http::port_of(*server)};
+    caller.write(get);
+    auto const id = take_request().id;
+    http::start_answer(*server, id, {.status = 200, .length = 4});
+    http::send_bytes(*server, id, "ab");
+    read_until(caller, "ab");
+    http::send_bytes(*server, id, "cdefg");
+    http::end_answer(*server, id);
+    read_until_closed(caller);
+    BOOST_TEST(caller.received.ends_with("\r\n\r\nab"), caller.received);
+}
+
 BOOST_AUTO_TEST_CASE(answers_that_may_have_no_body_are_not_chunked)
 {
     for (int const status : {204, 304})
