Add an error event only between events of unstated length

Cause: after a stream of the default interface broke off, the event with the problem was added wherever the stream stood: inside an event it became a part of it, and in a body of stated length it could make the answer whole. Change: it is added only after a whole event, in chunks.

--- a/source/services/front/answers.cpp
+++ b/source/services/front/answers.cpp
@@ -44,14 +44,23 @@
     state.requests.erase(id);
 }
 
+/// Returns whether an event can be added to an answer whose head was sent: not
+/// inside an event, which it would become a part of, and not in a body of
+/// stated length, which it would fill up. Dialects have no error event.
+bool can_add_error_event(front_state const& state, open_request const& open)
+{
+    return open.is_event_stream && !open.has_length &&
+           !decisions::is_inside_event(open.cursor) &&
+           !state.options.dialect.make_refusal;
+}
+
 /// Ends an answer whose head was sent, so that the caller cannot mistake it
-/// for a complete one. Event streams of the default interface get a last event
-/// with the problem.
+/// for a complete one. Event streams get a last event with the problem where
+/// one can be added.
 void end_incomplete_answer(front_state& state, open_request const& open,
                            problem_details const& problem)
 {
-    // A dialect has no error event.
-    if (open.is_event_stream && !state.options.dialect.make_refusal)
+    if (can_add_error_event(state, open))
     {
         http::send_bytes(
             *state.server, open.exchange,
@@ -97,6 +106,7 @@
     open.is_event_stream = find_header(head.headers, "content-type")
                                .starts_with("text/event-stream");
     auto const length = parse_content_length(head.headers);
+    open.has_length = length.has_value();
     if (state.options.dialect.rewrite_head)
     {
         state.options.dialect.rewrite_head(head);
@@ -128,6 +138,8 @@
     }
     ++open.chunks;
     open.bytes += chunk.bytes.size();
+    if (open.is_event_stream)
+        decisions::follow_events(open.cursor, chunk.bytes);
     http::send_bytes(*state.server, open.exchange, chunk.bytes);
 }
 
--- a/source/services/front/front_service.hpp
+++ b/source/services/front/front_service.hpp
@@ -3,6 +3,7 @@
 /// routing decisions are made elsewhere.
 #pragma once
 
+#include "decisions/event_cursor.hpp"
 #include "http/server.hpp"
 #include "kernel/service.hpp"
 #include "services/front/matching.hpp"
@@ -66,6 +67,9 @@
     attempt_id attempt; ///< Its answer is forwarded to the caller.
     bool head_sent = false;
     bool is_event_stream = false;
+    bool has_length = false; ///< The head states the length of the body.
+    /// Position in the stream, if it is one.
+    decisions::event_cursor cursor{};
     std::uint64_t chunks = 0; ///< Forwarded to the caller so far.
     std::uint64_t bytes = 0;  ///< Forwarded to the caller so far.
     /// Consumed by the caller, but not yet reported to the routing service.
