Join a stream only with an answer that goes on with it

Cause: after a stream broke off, any whole 2xx answer of the next server was taken for its continuation: one of another media type, an empty one, one without ids, one that starts over. An answer that was no stream at all (an error's text with an empty line) was resumed with the events of another server, and so was a stream without ids. A resumed stream kept the length that its first server had stated, so that a cut one could look whole. A stream without any event counted as whole. A server that stopped after its head kept a request that may be repeated until its deadline. Change: event_cursor tells whether another server's bytes continue the stream; only heads with the status and type of the first one are accepted; resumable streams go out in chunks; silence is watched until the body has begun. Broken answers are counted by their cause and logged with the bytes that they brought.

--- a/source/decisions/event_cursor.cpp
+++ b/source/decisions/event_cursor.cpp
@@ -34,6 +34,32 @@
     return std::nullopt;
 }
 
+bool is_comment(std::string_view event)
+{
+    while (!event.empty() && event.front() == ':')
+    {
+        auto const line_end = event.find('\n');
+        event.remove_prefix(line_end == std::string_view::npos ? event.size()
+                                                               : line_end + 1);
+    }
+    return event.empty() || event == "\n";
+}
+
+/// Determines from an event of another server whether it continues the stream.
+void check_continuation(event_cursor& cursor, std::string_view event,
+                        std::optional<std::uint64_t> id)
+{
+    if (cursor.continued != continuation::awaited)
+        return;
+    if (!id)
+        cursor.continued =
+            is_comment(event) ? continuation::awaited : continuation::foreign;
+    else if (*id < *cursor.last_id)
+        cursor.continued = continuation::restarted;
+    else if (*id > *cursor.last_id)
+        cursor.continued = continuation::confirmed;
+}
+
 } // namespace
 
 void follow_events(event_cursor& cursor, std::string_view bytes)
@@ -67,7 +93,11 @@
             std::string_view{cursor.partial}.substr(begin, next - begin);
         begin = next;
         auto const id = event_id(event);
-        if (id && cursor.last_id && *id <= *cursor.last_id)
+        check_continuation(cursor, event, id);
+        if (is_other_stream(cursor))
+            break;
+        if (cursor.continued == continuation::awaited ||
+            (id && cursor.last_id && *id <= *cursor.last_id))
             continue;
         if (id)
             cursor.last_id = id;
@@ -77,9 +107,17 @@
     return complete;
 }
 
-void discard_partial(event_cursor& cursor)
+void begin_continuation(event_cursor& cursor)
 {
     cursor.partial.clear();
+    cursor.continued =
+        cursor.last_id ? continuation::awaited : continuation::none;
+}
+
+bool is_other_stream(event_cursor const& cursor)
+{
+    return cursor.continued == continuation::restarted ||
+           cursor.continued == continuation::foreign;
 }
 
 } // namespace bramleyarch::decisions
--- a/source/decisions/event_cursor.hpp
+++ b/source/decisions/event_cursor.hpp
@@ -4,6 +4,9 @@
 /// a repeated event or a partial event.
 #pragma once
 
+#include "common/enum_names.hpp"
+
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,6 +15,26 @@
 namespace bramleyarch::decisions
 {
 
+/// Whether the bytes of another server go on with a stream.
+enum class continuation
+{
+    none,      ///< The bytes come from the stream's first server.
+    awaited,   ///< No event after the last one has been seen yet.
+    confirmed, ///< The events go on after the last one.
+    restarted, ///< The stream starts before the last event: another run.
+    foreign,   ///< The bytes are no events of this stream.
+};
+
+constexpr auto enum_names(continuation)
+{
+    using row = enum_name<continuation>;
+    return std::array{row{continuation::none, "none"},
+                      row{continuation::awaited, "awaited"},
+                      row{continuation::confirmed, "confirmed"},
+                      row{continuation::restarted, "restarted"},
+                      row{continuation::foreign, "foreign"}};
+}
+
 /// Position after the last complete event of a stream.
 struct event_cursor
 {
@@ -19,6 +42,7 @@
     /// of the cursor gives up an event that is too long.
     std::string partial;
     std::optional<std::uint64_t> last_id; ///< Id of the last complete event.
+    continuation continued = continuation::none;
     /// The bytes passed by `follow_events` end inside an event.
     bool inside_event = false;
     /// The last byte passed by `follow_events` ends a line.
@@ -35,10 +59,16 @@
 
 /// Appends bytes of the stream and removes the complete events from the
 /// cursor. Returns these events, except those whose id is not above the last
-/// one: a server that continues a stream may repeat events.
+/// one: a server that continues a stream may repeat events. Returns none from
+/// the point on where `continued` shows that the bytes do not continue it.
 std::string extract_events(event_cursor& cursor, std::string_view bytes);
 
-/// Discards an incomplete event whose server was lost.
-void discard_partial(event_cursor& cursor);
+/// Prepares for the bytes of another server, which has to go on after the last
+/// complete event. Discards an incomplete event of the server before.
+void begin_continuation(event_cursor& cursor);
+
+/// Returns whether the bytes since `begin_continuation` have shown that they do
+/// not go on with the stream.
+bool is_other_stream(event_cursor const& cursor);
 
 } // namespace bramleyarch::decisions
--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -34,11 +34,6 @@
     request.current_server = {};
 }
 
-bool is_success(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 /// Records that a server answered the request's prompt, if it did.
 void record_proof(entry_state& state, entry_context& ctx,
                   entry_request const& request)
@@ -63,6 +58,12 @@
     auto head = std::move(*request.buffered_head);
     request.buffered_head.reset();
     request.stage = request_stage::forwarding_answer;
+    request.forwarded_status = head.status;
+    request.forwarded_type = find_header(head.headers, "content-type");
+    // The events of another server may have another length in total.
+    if (request.routed.terms.resumable)
+        std::erase_if(head.headers, [](header_field const& field)
+                      { return field.name == "content-length"; });
     sample(state.telemetry_sink, latency_kind::first_byte,
            now(ctx) - request.routed.terms.received);
     request.reply(answer_head{.attempt = answer_id(request),
@@ -132,6 +133,18 @@
     count(state.telemetry_sink, counter::offers_sent);
 }
 
+/// Logs an attempt whose answer is not used.
+void log_rejected(entry_state& state, entry_request const& request,
+                  std::string_view reason, int status)
+{
+    log(state.telemetry_sink, log_severity::info, "attempt_failed",
+        fmt::format("request={} attempt={} server={} status={} standing={} "
+                    "answer_bytes={}",
+                    to_text(request.routed.id), request.attempt_number,
+                    request.current_server.value, status, reason,
+                    request.attempt_bytes));
+}
+
 /// Discards an answer that must not be forwarded and retries the request if
 /// that is allowed.
 void reject_answer(entry_state& state, entry_context& ctx,
@@ -143,7 +156,10 @@
     if (server && kind == answer_kind::foreign)
         record_server_failure(state, *server, now(ctx), "foreign_answer");
     if (kind == answer_kind::foreign)
+    {
         request.may_have_run = true;
+        count(state.telemetry_sink, counter::answers_foreign);
+    }
     // The attempt reached another server and ran nowhere, so it does not count
     // towards the attempt limit.
     if (kind == answer_kind::misdirected)
@@ -151,10 +167,7 @@
     auto const detail =
         fmt::format("server {} answered {} ({})", request.current_server.value,
                     status, to_name(kind));
-    log(state.telemetry_sink, log_severity::info, "attempt_failed",
-        fmt::format("request={} attempt={} server={} status={} standing={}",
-                    to_text(request.routed.id), request.attempt_number,
-                    request.current_server.value, status, to_name(kind)));
+    log_rejected(state, request, to_name(kind), status);
     abort_current_attempt(state, ctx, request);
     retry_or_fail(state, ctx, request,
                   {kind == answer_kind::foreign ? error_kind::server_protocol
@@ -162,6 +175,32 @@
                    detail});
 }
 
+/// Discards an answer that does not go on with the stream which the caller has
+/// received a part of, and tries another server if that is allowed.
+void reject_continuation(entry_state& state, entry_context& ctx,
+                         entry_request& request, std::string_view reason)
+{
+    bool const restarted =
+        request.cursor.continued == decisions::continuation::restarted;
+    count(state.telemetry_sink, restarted ? counter::streams_restarted
+                                          : counter::streams_not_continued);
+    if (auto* const server = find_current_server(state, request))
+        record_server_failure(state, *server, now(ctx), reason);
+    log_rejected(state, request, reason, request.attempt_status);
+    auto detail = fmt::format("server {} did not go on with the stream: {}",
+                              request.current_server.value, reason);
+    abort_current_attempt(state, ctx, request);
+    retry_or_fail(state, ctx, request,
+                  {error_kind::server_protocol, std::move(detail)});
+}
+
+/// Returns whether the head is one of the stream that the caller receives.
+bool continues_stream(entry_request const& request, backend_head const& head)
+{
+    return head.status == request.forwarded_status &&
+           find_header(head.headers, "content-type") == request.forwarded_type;
+}
+
 /// Records what the server of the current attempt announces in its answer. The
 /// server may not be listed any more.
 void record_announcements(entry_state& state, entry_request const& request,
@@ -201,16 +240,13 @@
     }
     request.may_have_run = true;
     request.attempt_status = head.status;
-    cancel(ctx, std::exchange(request.silence_timer, 0));
     if (server)
         record_server_answer(*server);
     if (request.stage == request_stage::forwarding_answer)
     {
-        // A resumed stream: the caller already has the head of the first
-        // server's answer.
-        if (!is_success(head.status))
-            reject_answer(state, ctx, request, answer_kind::foreign,
-                          head.status);
+        // The caller already has the head of the first server's answer.
+        if (!continues_stream(request, head))
+            reject_continuation(state, ctx, request, "other_head");
         return;
     }
     if (head.status >= min_server_error_status &&
@@ -276,6 +312,14 @@
         chunk.bytes =
             extract_forwardable_bytes(request, std::move(chunk.bytes));
     }
+    if (decisions::is_other_stream(request.cursor))
+    {
+        reject_continuation(state, ctx, request,
+                            to_name(request.cursor.continued));
+        return;
+    }
+    // A body that goes out step by step has begun.
+    cancel(ctx, std::exchange(request.silence_timer, 0));
     // The caller grants credit only for the bytes that are forwarded to it.
     if (size > chunk.bytes.size())
         send(state.backend,
@@ -284,6 +328,7 @@
                  static_cast<std::uint32_t>(size - chunk.bytes.size())});
     if (is_event_too_long(state, request))
     {
+        count(state.telemetry_sink, counter::events_too_long);
         forward_answer_bytes(state, ctx, request, std::move(chunk.bytes));
         reject_answer(state, ctx, request, answer_kind::foreign,
                       request.attempt_status);
@@ -291,6 +336,18 @@
     }
     forward_answer_bytes(state, ctx, request, std::move(chunk.bytes));
 }
+
+/// Counts an answer that was broken off, by where that was.
+void count_broken_answer(entry_state& state, backend_failed const& failed)
+{
+    if (failed.cause.kind == error_kind::server_protocol)
+        count(state.telemetry_sink, counter::answers_malformed);
+    else if (failed.progress == answer_progress::in_head)
+        count(state.telemetry_sink, counter::answers_cut_in_head);
+    else if (failed.progress == answer_progress::in_body)
+        count(state.telemetry_sink, counter::answers_cut_in_body);
+}
+
 void handle_event(entry_state& state, entry_context& ctx,
                   entry_request& request, backend_failed const& failed)
 {
@@ -298,6 +355,7 @@
     auto* const server = find_current_server(state, request);
     if (failed.sent)
         request.may_have_run = true;
+    count_broken_answer(state, failed);
     // A kept connection that the server had closed meanwhile is no failure of
     // the server.
     bool const is_stale =
@@ -315,43 +373,56 @@
     }
     log(state.telemetry_sink, log_severity::info, "attempt_failed",
         fmt::format("request={} attempt={} server={} reason={} detail=\"{}\" "
-                    "sent={} kept_connection={} after_ms={} answer_bytes={} "
-                    "prompt={}",
+                    "sent={} kept_connection={} after_ms={} progress={} "
+                    "answer_bytes={} prompt={}",
                     to_text(request.routed.id), request.attempt_number,
                     request.current_server.value, to_name(failed.cause.kind),
                     failed.cause.detail, failed.sent, failed.kept_connection,
                     to_ms(at - request.attempt_started_at),
-                    request.attempt_bytes,
+                    to_name(failed.progress), request.attempt_bytes,
                     prompt_text(request.routed.terms.prompt)));
     if (is_stale && !request.tried_servers.empty())
         request.tried_servers.pop_back();
     release_attempt(state, ctx, request);
-    bool const is_forwarding =
-        request.stage == request_stage::forwarding_answer;
-    if (is_forwarding && !request.routed.terms.resumable)
-    {
-        fail_request(state, ctx, request, failed.cause);
-        return;
-    }
-    if (is_forwarding)
+    if (request.stage == request_stage::forwarding_answer &&
+        can_go_on_elsewhere(request))
         count(state.telemetry_sink, counter::resumes);
     retry_or_fail(state, ctx, request, failed.cause);
     end_refused_requests(state, ctx);
 }
 
-/// Completes the request, unless the answer is a stream that was broken off:
-/// one whose end is the end of its connection can end anywhere.
+/// Returns why the end of a stream does not make it whole, or an empty text. A
+/// stream whose end is the end of its connection can end anywhere.
+std::string_view incomplete_stream(entry_request const& request)
+{
+    if (!request.routed.terms.streaming || !is_success(request.attempt_status))
+        return {};
+    if (decisions::is_inside_event(request.cursor))
+        return "the stream ended in an event";
+    bool const resumed_by_caller = request.routed.resume_offset > 0;
+    if (request.stage == request_stage::awaiting_answer && !resumed_by_caller)
+        return "the stream ended without an event";
+    return {};
+}
+
+/// Completes the request, unless the answer is a stream that was broken off.
 void handle_event(entry_state& state, entry_context& ctx,
                   entry_request& request, backend_end const& end)
 {
-    if (request.routed.terms.streaming && is_success(request.attempt_status) &&
-        decisions::is_inside_event(request.cursor))
+    if (request.stage == request_stage::forwarding_answer &&
+        request.cursor.continued == decisions::continuation::awaited)
+    {
+        reject_continuation(state, ctx, request, "no_event");
+        return;
+    }
+    if (auto const reason = incomplete_stream(request); !reason.empty())
     {
         handle_event(state, ctx, request,
                      backend_failed{.attempt = end.attempt,
-                                    .cause = {error_kind::server_closed,
-                                              "the stream ended in an event"},
-                                    .sent = true});
+                                    .cause = {error_kind::server_protocol,
+                                              std::string{reason}},
+                                    .sent = true,
+                                    .progress = answer_progress::in_body});
         return;
     }
     if (request.buffered_head)
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -6,6 +6,12 @@
 namespace bramleyarch::services
 {
 
+/// Returns whether the status of an answer says that the request succeeded.
+constexpr bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
 /// Updates the list of servers from the current deployment.
 void update_servers(entry_state& state, time_point at);
 
@@ -103,6 +109,10 @@
 void retry_or_fail(entry_state& state, entry_context& ctx,
                    entry_request& request, error cause);
 
+/// Returns whether another server may go on with what the caller has received:
+/// nothing, or whole events of a stream that may be resumed.
+bool can_go_on_elsewhere(entry_request const& request);
+
 /// Ends the request without a complete answer and removes it.
 void fail_request(entry_state& state, entry_context& ctx,
                   entry_request& request, error cause,
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -142,6 +142,9 @@
     std::optional<backend_head> buffered_head;
     std::string buffered_body; ///< Body bytes that follow `buffered_head`.
     decisions::event_cursor cursor;
+    /// Status and media type of the head that was forwarded.
+    int forwarded_status = 0;
+    std::string forwarded_type;
     int attempt_status = 0;          ///< Of the current attempt's answer.
     std::uint64_t attempt_bytes = 0; ///< Of the current attempt's answer.
     std::uint64_t forwarded_chunks = 0;
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -258,7 +258,7 @@
     request.buffered_body.clear();
     request.attempt_status = 0;
     request.attempt_bytes = 0;
-    decisions::discard_partial(request.cursor);
+    decisions::begin_continuation(request.cursor);
     ++server.local_in_flight;
     schedule_next_cold_send(state, server, at);
     auto const resume_after = request.cursor.last_id;
@@ -390,6 +390,13 @@
     request.current_server = {};
 }
 
+bool can_go_on_elsewhere(entry_request const& request)
+{
+    return request.stage == request_stage::awaiting_answer ||
+           (request.routed.terms.resumable && request.cursor.last_id &&
+            is_success(request.forwarded_status));
+}
+
 void retry_or_fail(entry_state& state, entry_context& ctx,
                    entry_request& request, error cause)
 {
@@ -398,7 +405,7 @@
     bool const allowed =
         !ran || request.routed.kind == request_kind::idempotent;
     auto const at = now(ctx);
-    if (!allowed ||
+    if (!allowed || !can_go_on_elsewhere(request) ||
         request.sent_attempts >= request.routed.terms.max_attempts ||
         remaining_time(state, request, at) < min_attempt_time)
     {
--- a/source/services/entry/silence.cpp
+++ b/source/services/entry/silence.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-/// Returns the time after which an attempt without a byte is retried at another
+/// Returns the time without a byte after which an attempt is retried at another
 /// server. At least half of the time until the deadline is left for that.
 duration first_byte_timeout(entry_state const& state,
                             entry_request const& request)
@@ -30,11 +30,9 @@
 
 bool may_retry(entry_request const& request)
 {
-    if (request.routed.kind != request_kind::idempotent ||
-        request.sent_attempts >= request.routed.terms.max_attempts)
-        return false;
-    return request.stage == request_stage::awaiting_answer ||
-           request.routed.terms.resumable;
+    return request.routed.kind == request_kind::idempotent &&
+           request.sent_attempts < request.routed.terms.max_attempts &&
+           can_go_on_elsewhere(request);
 }
 
 void send_probe(entry_state& state, backend_server& server)
@@ -84,18 +82,22 @@
     auto const at = now(ctx);
     if (request.awaiting_first_byte_timeout)
     {
-        retry_elsewhere(state, ctx, request, "no_first_byte");
+        auto const due =
+            request.last_byte_at + first_byte_timeout(state, request);
+        if (at >= due)
+            retry_elsewhere(state, ctx, request, "no_byte");
+        else
+            request.silence_timer =
+                schedule(ctx, due - at, request_check_due{request.routed.id});
         return;
     }
     auto* const server = find_current_server(state, request);
     if (server && server->last_response_at < request.attempt_started_at)
         send_probe(state, *server);
     request.awaiting_first_byte_timeout = true;
-    auto const first_byte_due =
-        request.attempt_started_at + first_byte_timeout(state, request);
-    request.silence_timer =
-        schedule(ctx, std::max(first_byte_due - at, duration::zero()),
-                 request_check_due{request.routed.id});
+    auto const due = request.last_byte_at + first_byte_timeout(state, request);
+    request.silence_timer = schedule(ctx, std::max(due - at, duration::zero()),
+                                     request_check_due{request.routed.id});
 }
 
 void probe_ejected_servers(entry_state& state, time_point at)
--- a/tests/unit/decisions/event_cursor_test.cpp
+++ b/tests/unit/decisions/event_cursor_test.cpp
@@ -46,7 +46,7 @@
     {
         event_cursor cursor;
         auto passed_on = extract_events(cursor, first.substr(0, cut));
-        discard_partial(cursor);
+        begin_continuation(cursor);
         auto const resumed = static_cast<int>(cursor.last_id.value_or(0));
         // The second server may repeat the event at which it resumes.
         for (int id = std::max(resumed, 1); id <= 5; ++id)
@@ -57,6 +57,33 @@
     }
 }
 
+// Guards against events of two runs in one stream.
+BOOST_AUTO_TEST_CASE(bytes_that_do_not_continue_the_stream_are_told)
+{
+    struct row
+    {
+        std::string bytes;
+        continuation found;
+    };
+    for (auto const& [bytes, found] :
+         {row{event(3), continuation::confirmed},
+          row{event(2) + event(3), continuation::confirmed},
+          row{": comment\n\n" + event(3), continuation::confirmed},
+          row{event(1) + event(2) + event(3), continuation::restarted},
+          row{"error\n\n" + event(3), continuation::foreign},
+          row{"error", continuation::awaited}, row{"", continuation::awaited}})
+    {
+        event_cursor cursor;
+        extract_events(cursor, event(1) + event(2));
+        begin_continuation(cursor);
+        auto const passed_on = extract_events(cursor, bytes);
+        BOOST_TEST((cursor.continued == found), bytes);
+        BOOST_TEST(passed_on ==
+                       (found == continuation::confirmed ? event(3) : ""),
+                   bytes);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(streams_that_end_inside_an_event_are_told)
 {
     for (std::string const whole :
--- a/tests/unit/services/entry/stream_test.cpp
+++ b/tests/unit/services/entry/stream_test.cpp
@@ -102,4 +102,110 @@
     BOOST_TEST(last_caller().body == "id: 1\n\nid: 2\n\n");
 }
 
+/// A stream that may be resumed, whose first server was lost after two events.
+struct broken_stream_fixture : two_server_fixture
+{
+    std::vector<header_field> const type{{"content-type", "text/event-stream"}};
+    std::string const begin = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+    void break_stream(int status, std::string const& body,
+                      std::vector<header_field> headers)
+    {
+        submit(idempotent, 2, {.streaming = true, .resumable = true});
+        auto const id = backend->sent.back().attempt;
+        deliver(backend_send_started{id});
+        deliver(backend_head{id, status, std::move(headers)});
+        deliver(backend_chunk{id, body});
+        deliver(backend_failed{.attempt = id,
+                               .cause = {error_kind::server_closed, "reset"},
+                               .sent = true});
+    }
+
+    /// Breaks a stream and answers its continuation.
+    void answer_continuation(int status, std::string const& body,
+                             std::vector<header_field> headers)
+    {
+        break_stream(200, begin, type);
+        BOOST_REQUIRE(backend->sent.back().attempt.number == 2U);
+        answer_last_attempt(status, body, std::move(headers));
+    }
+
+    void require_cut_after(std::string const& body)
+    {
+        BOOST_TEST(last_caller().body == body);
+        BOOST_TEST(!last_caller().ended);
+        BOOST_REQUIRE(last_caller().error);
+        BOOST_TEST((last_caller().error->known == outcome::failed));
+    }
+};
+
+// Guards against a stream that is joined with an answer which does not go on
+// with it, or that ends as whole with such an answer.
+BOOST_FIXTURE_TEST_CASE(answer_that_does_not_go_on_is_not_joined,
+                        broken_stream_fixture)
+{
+    std::vector<header_field> const json{{"content-type", "application/json"}};
+    std::string const next = "id: 3\ndata: c\n\n";
+    for (int const status : {400, 404, 500, 503, 302, 204, 206})
+    {
+        answer_continuation(status, "{\"a\":1}\n\n" + next, type);
+        require_cut_after(begin);
+    }
+    for (auto const& headers : {json, std::vector<header_field>{}})
+    {
+        answer_continuation(200, next, headers);
+        require_cut_after(begin);
+    }
+    for (auto const& body :
+         {std::string{}, std::string{"{\"a\":1}"}, std::string{"error\n\n"},
+          "error\n\n" + next, begin + next, "id: 1\ndata: other\n\n" + next})
+    {
+        answer_continuation(200, body, type);
+        require_cut_after(begin);
+    }
+    answer_continuation(200, ": comment\n\n" + next, type);
+    BOOST_TEST(last_caller().body == begin + next);
+    BOOST_TEST(last_caller().ended);
+}
+
+// Guards against events of a second run after the text of an error, and after
+// events that have no ids to go on from.
+BOOST_FIXTURE_TEST_CASE(answer_that_is_no_stream_with_ids_is_not_resumed,
+                        broken_stream_fixture)
+{
+    std::string const plain = "data: a\n\n";
+    for (int const status : {200, 404})
+    {
+        auto const body = status == 200 ? plain : begin;
+        break_stream(status, body, type);
+        require_cut_after(body);
+        BOOST_TEST(backend->sent.back().attempt.number == 1U);
+    }
+}
+
+// Guards against a cut that has the length which another run's head states.
+BOOST_FIXTURE_TEST_CASE(resumable_stream_states_no_length,
+                        broken_stream_fixture)
+{
+    auto headers = type;
+    headers.push_back({"content-length", "48"});
+    break_stream(200, begin, std::move(headers));
+    BOOST_REQUIRE(last_caller().head);
+    BOOST_TEST(
+        find_header(last_caller().head->headers, "content-length").empty());
+}
+
+BOOST_AUTO_TEST_CASE(stream_without_any_event_is_not_whole)
+{
+    for (auto const kind : {idempotent, non_idempotent})
+    {
+        bool const resumable = kind == idempotent;
+        submit(kind, 1, {.streaming = true, .resumable = resumable});
+        answer_last_attempt(200, "");
+        BOOST_TEST(!last_caller().ended);
+        BOOST_REQUIRE(last_caller().error);
+        BOOST_TEST((last_caller().error->known == outcome::unknown));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
