Take requests during a planned stop by what their kind takes

Cause: for 2.5 s of the grace every request was taken, however long its kind takes, and none after that; what had not ended by the end of the grace was cut without an answer, also requests that may not be repeated. A retry late in the grace was sent likewise. Change: the entry service knows when the stop ends and how long the answers of each route took lately (decisions/answer_times). It takes, and sends again, what will end in time, refuses the rest as not run before anything is sent, and gives each request still in flight at the end an answer. The front end refuses only once no caller waits.

--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -107,6 +107,10 @@
                     request.sent_attempts, request.forwarded_chunks,
                     request.forwarded_bytes,
                     to_ms(at - request.routed.terms.received)));
+    if (is_success(request.attempt_status))
+        decisions::record_answer_time(state.answer_times,
+                                      request.routed.terms.route,
+                                      at - request.routed.terms.received, at);
     clear_crash_suspect(state, request);
     record_proof(state, ctx, request);
     request.reply(answer_end{.attempt = answer_id(request),
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -127,7 +127,7 @@
                                duration least);
 
 /// Returns whether the request can be sent now to a server that it has not
-/// tried.
+/// tried, and be answered before a planned stop ends.
 bool has_untried_server(entry_state& state, entry_request const& request,
                         time_point at);
 
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -83,10 +83,14 @@
     if (!request)
         return;
     request->deadline_timer = 0;
-    fail_request(state, ctx, *request,
-                 {error_kind::deadline_exceeded,
-                  fmt::format("deadline passed while waiting for server {}",
-                              request->current_server.value)});
+    bool const is_stopped =
+        state.end_by && *state.end_by < request->routed.deadline;
+    fail_request(
+        state, ctx, *request,
+        {is_stopped ? error_kind::draining : error_kind::deadline_exceeded,
+         fmt::format("{} while waiting for server {}",
+                     is_stopped ? "this instance stopped" : "deadline passed",
+                     request->current_server.value)});
 }
 
 /// Handles the silence timer, which is delivered as `request_check_due`.
@@ -151,9 +155,20 @@
     apply_shared_limits(state.options, message.limits);
 }
 
-void handle(entry_state& state, entry_context&, drain_started)
+/// Requests in flight end with the stop at the latest, so that each caller gets
+/// an answer.
+void handle(entry_state& state, entry_context& ctx, drain_started message)
 {
     state.draining = true;
+    state.end_by = message.end_by;
+    if (!state.end_by)
+        return;
+    for (auto& [id, request] : state.requests)
+    {
+        cancel(ctx, request.deadline_timer);
+        request.deadline_timer = schedule(
+            ctx, remaining_time(state, request, now(ctx)), request_expired{id});
+    }
 }
 
 void handle(entry_state& state, entry_context&, status_query const& query)
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -4,6 +4,7 @@
 /// registered under the name "routing".
 #pragma once
 
+#include "decisions/answer_times.hpp"
 #include "decisions/crash_history.hpp"
 #include "decisions/crashing_parts.hpp"
 #include "decisions/event_cursor.hpp"
@@ -171,8 +172,11 @@
     kernel::address<peers_message> peers_service;
     telemetry telemetry_sink;
     std::mt19937_64 random;
+    decisions::answer_times answer_times;
     int ticks = 0;
     bool draining = false;
+    /// Time by which a planned stop ends, while there is one.
+    std::optional<time_point> end_by;
 };
 
 using entry_context = kernel::context<routing_message>;
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -305,6 +305,20 @@
         request_check_due{request.routed.id});
 }
 
+/// Returns whether an attempt that is sent now will be answered before this
+/// instance stops. A stream that goes on elsewhere is tried in any case, since
+/// it would be cut off otherwise.
+bool ends_before_stop(entry_state const& state, entry_request const& request,
+                      time_point at)
+{
+    if (!state.end_by || request.stage == request_stage::forwarding_answer)
+        return true;
+    auto const expected = decisions::expected_answer_time(
+        state.answer_times, request.routed.terms.route, at);
+    return at + expected.value_or(request.routed.deadline - at) <=
+           *state.end_by;
+}
+
 } // namespace
 
 duration scaled_latency_target(entry_request const& request, double factor,
@@ -319,13 +333,17 @@
 bool has_untried_server(entry_state& state, entry_request const& request,
                         time_point at)
 {
-    return !find_eligible_servers(state, request, at).servers.empty();
+    return ends_before_stop(state, request, at) &&
+           !find_eligible_servers(state, request, at).servers.empty();
 }
 
 duration remaining_time(entry_state const& state, entry_request const& request,
                         time_point at)
 {
-    return request.routed.deadline - at - state.options.deadline_margin;
+    auto const end = state.end_by
+                         ? std::min(request.routed.deadline, *state.end_by)
+                         : request.routed.deadline;
+    return end - at - state.options.deadline_margin;
 }
 
 duration jittered_retry_after(entry_state& state, duration least)
@@ -339,6 +357,13 @@
                   entry_request& request)
 {
     auto const at = now(ctx);
+    if (!ends_before_stop(state, request, at))
+    {
+        fail_request(state, ctx, request,
+                     {error_kind::draining,
+                      "this instance stops before the answer would end"});
+        return;
+    }
     if (remaining_time(state, request, at) < min_attempt_time)
     {
         fail_request(
--- a/source/services/lifecycle/lifecycle_service.cpp
+++ b/source/services/lifecycle/lifecycle_service.cpp
@@ -53,25 +53,45 @@
     *state.options.ended = true;
 }
 
+/// Returns the time by which the last answers have to be given.
+time_point answers_end(lifecycle_state const& state)
+{
+    auto const& options = state.options;
+    return *state.stopping + options.limits.stop_limit - options.stop_margin -
+           options.answer_margin;
+}
+
+void query_callers(lifecycle_state& state)
+{
+    state.callers_idle = false;
+    send(state.front,
+         idle_query{[to = state.self, query = ++state.last_query](bool idle) {
+             send(to, idle_reply{query, idle});
+         }});
+}
+
 void go_on_stopping(lifecycle_state& state, time_point at)
 {
-    auto const passed = at - *state.stopping;
-    if (passed >= state.options.limits.stop_limit - state.options.stop_margin)
+    if (at >= answers_end(state) + state.options.answer_margin)
     {
         end(state, "limit_reached");
         return;
     }
-    if (passed < state.options.leave_time)
+    if (at - *state.stopping < state.options.leave_time)
         return;
-    // What is taken later might not be finished in time.
-    send(state.front, drain_started{});
-    if (state.callers_idle)
+    if (state.refusing && state.callers_idle)
     {
         end(state, "all_answered");
         return;
     }
-    send(state.front, idle_query{[to = state.self](bool idle)
-                                 { send(to, idle_reply{idle}); }});
+    // A request that is taken between the reply and the end would be lost, so
+    // the callers have to be idle once more after this.
+    if (!state.refusing && (state.callers_idle || at >= answers_end(state)))
+    {
+        state.refusing = true;
+        send(state.front, drain_started{});
+    }
+    query_callers(state);
 }
 
 void receive_one(lifecycle_state& state, context& ctx, stop_requested)
@@ -83,7 +103,7 @@
         fmt::format("limit_ms={}", to_ms(state.options.limits.stop_limit)));
     send(state.admin, drain_started{});
     send(state.front, leaving_started{});
-    send(state.routing, drain_started{});
+    send(state.routing, drain_started{.end_by = answers_end(state)});
     send(state.store, drain_started{});
 }
 
@@ -95,7 +115,8 @@
 
 void receive_one(lifecycle_state& state, context&, idle_reply const& answer)
 {
-    state.callers_idle = answer.idle;
+    if (answer.query == state.last_query)
+        state.callers_idle = answer.idle;
 }
 
 void receive_one(lifecycle_state& state, context& ctx, lifecycle_tick)
--- a/source/services/lifecycle/lifecycle_service.hpp
+++ b/source/services/lifecycle/lifecycle_service.hpp
@@ -2,8 +2,9 @@
 /// own requests.
 ///
 /// A stop first makes the instance not ready, so that the balancer turns
-/// callers away from it, while requests are still served; then it takes no
-/// more, waits for what is in flight, and ends.
+/// callers away from it, while requests are still served. Once no caller waits
+/// for an answer, it takes no more and ends. The routing service is told when
+/// the stop ends, and refuses what would not be answered before.
 #pragma once
 
 #include "config/settings.hpp"
@@ -35,6 +36,8 @@
     duration leave_time = std::chrono::milliseconds{2500};
     /// Kept back from the stop limit for the end itself.
     duration stop_margin = std::chrono::milliseconds{400};
+    /// Kept back before that for the last answers to reach their callers.
+    duration answer_margin = std::chrono::milliseconds{200};
     /// Set when the process is to end.
     std::shared_ptr<bool> ended = std::make_shared<bool>(false);
 };
@@ -44,7 +47,10 @@
     lifecycle_options options;
     std::optional<time_point> stopping;
     std::string stamp;
+    bool refusing = false; ///< The front end was told to take no more.
+    /// No caller waited for an answer when the last query was answered.
     bool callers_idle = false;
+    std::uint32_t last_query = 0;
     int ticks = 0;
     telemetry counted;
     kernel::address<lifecycle_message> self;
--- a/source/services/messages/lifecycle.hpp
+++ b/source/services/messages/lifecycle.hpp
@@ -3,6 +3,7 @@
 
 #include "services/messages/shared.hpp"
 
+#include <cstdint>
 #include <variant>
 
 namespace bramleyarch::services
@@ -18,9 +19,10 @@
 {
 };
 
-/// Reply of a service to the last `idle_query`.
+/// Reply of a service to an `idle_query`.
 struct idle_reply
 {
+    std::uint32_t query = 0; ///< Number of the query.
     bool idle = false;
 };
 
--- a/source/services/messages/shared.hpp
+++ b/source/services/messages/shared.hpp
@@ -83,6 +83,10 @@
 /// what is in flight.
 struct drain_started
 {
+    /// Time by which a planned stop ends; std::nullopt if it has no limit.
+    /// Until then, a service that knows how long its work takes may accept what
+    /// will end in time.
+    std::optional<time_point> end_by{};
 };
 
 /// Requests the state of a service as JSON text, for the status page.
--- a/tests/unit/services/entry/fixture.hpp
+++ b/tests/unit/services/entry/fixture.hpp
@@ -149,7 +149,7 @@
             .id = id_of(index),
             .service = {"desk"},
             .kind = kind,
-            .deadline = now(test_kernel.clock()) + 2s,
+            .deadline = now(test_kernel.clock()) + time_limit,
             .method = "POST",
             .target = distinct_targets ? "/x/" + std::to_string(index) : "/x",
             .terms = std::move(terms)};
@@ -212,6 +212,7 @@
     revision last_change = 0;
     /// Whether submitted requests differ, so that none repeats another.
     bool distinct_targets = false;
+    duration time_limit = 2s; ///< Of submitted requests.
 };
 
 constexpr auto idempotent = request_kind::idempotent;
--- /dev/null
+++ b/tests/unit/services/lifecycle/lifecycle_test.cpp
@@ -0,0 +1,115 @@
+/// Tests of a planned stop in the lifecycle service, with recording services.
+#include "../recorder.hpp"
+
+#include "services/lifecycle/lifecycle_service.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bramleyarch;
+using namespace bramleyarch::services;
+using namespace bramleyarch::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A front end whose callers wait for answers until a time.
+struct fake_front
+{
+    std::shared_ptr<std::vector<front_message>> messages;
+    std::shared_ptr<bool> busy;
+};
+
+void record_front(fake_front& state, kernel::context<front_message>&,
+                  front_message message)
+{
+    if (auto const* query = std::get_if<idle_query>(&message))
+        query->reply(!*state.busy);
+    state.messages->push_back(std::move(message));
+}
+
+struct fixture
+{
+    kernel::kernel test_kernel{kernel::run_mode::stepped};
+    std::shared_ptr<std::vector<front_message>> front =
+        std::make_shared<std::vector<front_message>>();
+    std::shared_ptr<bool> busy = std::make_shared<bool>(false);
+    std::shared_ptr<bool> ended = std::make_shared<bool>(false);
+    std::shared_ptr<std::vector<routing_message>> routing =
+        add_recorder<routing_message>(test_kernel, service_name::routing);
+    kernel::address<lifecycle_message> lifecycle;
+
+    fixture()
+    {
+        test_kernel.add(kernel::service<fake_front, front_message>{
+            .name = std::string{to_name(service_name::front)},
+            .state = {front, busy},
+            .receive = record_front});
+        lifecycle = test_kernel.add(make_lifecycle_service(
+            {.read_settings = [] { return config::parsed_settings{}; },
+             .settings_stamp = [] { return std::string{}; },
+             .limits = {.stop_limit = 8s},
+             .ended = ended}));
+        test_kernel.start();
+    }
+
+    void start_stop()
+    {
+        send(lifecycle, stop_requested{});
+        test_kernel.run_until_idle();
+    }
+
+    [[nodiscard]] bool is_refusing() const
+    {
+        return !received<drain_started>(*front).empty();
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(lifecycle, fixture)
+
+BOOST_AUTO_TEST_CASE(requests_are_taken_until_no_caller_waits)
+{
+    *busy = true;
+    start_stop();
+    auto const told = received<drain_started>(*routing);
+    BOOST_REQUIRE(told.size() == 1U);
+    BOOST_TEST((told[0].end_by == now(test_kernel.clock()) + 7400ms));
+    test_kernel.advance(5s);
+    BOOST_TEST(!is_refusing());
+    *busy = false;
+    test_kernel.advance(400ms);
+    BOOST_TEST(is_refusing());
+    test_kernel.advance(400ms);
+    BOOST_TEST(*ended);
+}
+
+// Guards against a request that is taken after the last reply of the front end
+// and before it refuses requests.
+BOOST_AUTO_TEST_CASE(callers_have_to_be_idle_after_requests_are_refused)
+{
+    start_stop();
+    test_kernel.advance(2700ms);
+    BOOST_TEST(!is_refusing());
+    *busy = true;
+    test_kernel.advance(900ms);
+    BOOST_TEST(is_refusing());
+    BOOST_TEST(!*ended);
+    *busy = false;
+    test_kernel.advance(600ms);
+    BOOST_TEST(*ended);
+}
+
+BOOST_AUTO_TEST_CASE(stop_ends_before_its_limit)
+{
+    *busy = true;
+    start_stop();
+    test_kernel.advance(7500ms);
+    BOOST_TEST(is_refusing());
+    BOOST_TEST(!*ended);
+    test_kernel.advance(300ms);
+    BOOST_TEST(*ended);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
