Clear parts of prompts by answers of all routers, and tell crashes from resets

Cause: a connection that was reset after the send counted as a crash of the server, also where the server runs on and lost one answer; and routers told each other of crashes but not of answers, so that in a fleet of hundreds, where each router sees few requests, sound parts were refused for ten minutes. A part that was answered within a minute was never suspected, so that one that turned deadly was stopped late. Change: a server that closes a connection is probed, and has crashed only if that fails or it has started anew. Answers that clear a suspected part travel in heartbeats as crashes do (datagram version 4: routers of two versions ignore each other's heartbeats). An answer clears a part of earlier crashes only. A refused part is tried by one router at a time.

--- a/source/decisions/peer_heartbeat.hpp
+++ b/source/decisions/peer_heartbeat.hpp
@@ -32,6 +32,13 @@
     std::vector<std::uint64_t> parts;
 };
 
+/// An answer that clears a part of prompts, as in `part_answer`, with its age.
+struct aged_part_answer
+{
+    std::uint64_t part = 0;
+    std::uint32_t age_ms = 0; ///< When the heartbeat was sent.
+};
+
 struct peer_heartbeat
 {
     router_id from;
@@ -47,6 +54,7 @@
     std::vector<server_request_count> loads;
     std::vector<suspect_body> suspects;
     std::vector<aged_prompt_crash> prompt_crashes;
+    std::vector<aged_part_answer> part_answers;
 };
 
 } // namespace bramleyarch::decisions
--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -34,15 +34,6 @@
     request.current_server = {};
 }
 
-/// Records that a server answered the request's prompt, if it did.
-void record_proof(entry_state& state, entry_context& ctx,
-                  entry_request const& request)
-{
-    if (is_success(request.attempt_status))
-        decisions::record_prompt_answer(state.crashing_parts,
-                                        request.routed.terms.prompt, now(ctx));
-}
-
 /// Returns the ids of a prompt's parts, separated by commas.
 std::string prompt_text(std::vector<prompt_part> const& prompt)
 {
@@ -112,7 +103,8 @@
                                       request.routed.terms.route,
                                       at - request.routed.terms.received, at);
     clear_crash_suspect(state, request);
-    record_proof(state, ctx, request);
+    if (request.attempt_bytes < state.options.min_proof_bytes)
+        record_proof(state, request, at);
     request.reply(answer_end{.attempt = answer_id(request),
                              .chunks = request.forwarded_chunks,
                              .bytes = request.forwarded_bytes});
@@ -296,7 +288,7 @@
         request.attempt_bytes >= state.options.min_proof_bytes;
     request.attempt_bytes += size;
     if (!was_proven && request.attempt_bytes >= state.options.min_proof_bytes)
-        record_proof(state, ctx, request);
+        record_proof(state, request, now(ctx));
     if (request.stage == request_stage::awaiting_answer &&
         !request.routed.terms.streaming)
     {
@@ -369,11 +361,7 @@
     {
         record_server_failure(state, *server, at, to_name(failed.cause.kind));
         if (failed.sent && failed.cause.kind == error_kind::server_closed)
-        {
-            record_crash_suspect(state, request, *server, at);
-            if (request.attempt_bytes == 0)
-                record_prompt_suspect(state, request, *server, at);
-        }
+            record_possible_crash(state, request, *server, at);
     }
     log(state.telemetry_sink, log_severity::info, "attempt_failed",
         fmt::format("request={} attempt={} server={} reason={} detail=\"{}\" "
@@ -387,12 +375,14 @@
                     prompt_text(request.routed.terms.prompt)));
     if (is_stale && !request.tried_servers.empty())
         request.tried_servers.pop_back();
+    auto const server_of_attempt = request.current_server;
     release_attempt(state, ctx, request);
     if (request.stage == request_stage::forwarding_answer &&
         can_go_on_elsewhere(request))
         count(state.telemetry_sink, counter::resumes);
     retry_or_fail(state, ctx, request, failed.cause);
-    end_refused_requests(state, ctx);
+    if (failed.cause.kind == error_kind::server_connect_failed)
+        confirm_crashes(state, ctx, server_of_attempt);
 }
 
 /// Returns why the end of a stream does not make it whole, or an empty text. A
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -52,6 +52,9 @@
 void handle_silence_timeout(entry_state& state, entry_context& ctx,
                             entry_request& request);
 
+/// Probes the server, unless a probe is in flight.
+void send_probe(entry_state& state, backend_server& server);
+
 /// Probes the ejected servers whose next probe is due, so that no request has
 /// to be risked to find out whether they are reachable.
 void probe_ejected_servers(entry_state& state, time_point at);
@@ -86,15 +89,32 @@
 void refuse_crashing_request(entry_state& state, entry_context& ctx,
                              entry_request& request);
 
-/// Records that the server may have crashed because of the request, and reports
-/// it to the other routers.
-void record_crash_suspect(entry_state& state, entry_request const& request,
-                          backend_server const& server, time_point at);
+/// Returns whether the request may be sent although it is refused, as the one
+/// that finds out whether the parts of its prompt are sound.
+bool start_trial(entry_state& state, entry_request& request, time_point at);
+
+/// Records that the server may have crashed while the request was in flight,
+/// and probes it to find out.
+void record_possible_crash(entry_state& state, entry_request const& request,
+                           backend_server& server, time_point at);
+
+/// Records that the possible crashes of the server were crashes, reports them
+/// to the other routers, and ends the requests that are refused now.
+void confirm_crashes(entry_state& state, entry_context& ctx,
+                     server_id const& server);
+
+/// Discards the possible crashes of a server that runs on. Returns whether
+/// there were any.
+bool discard_crashes(entry_state& state, server_id const& server);
+
+/// Confirms the possible crashes of servers that have started again, and
+/// discards those of servers that are gone.
+void confirm_crashes_of_ended_runs(entry_state& state, entry_context& ctx);
 
-/// Records that a part of the request's prompt may have crashed the server, and
-/// reports it to the other routers.
-void record_prompt_suspect(entry_state& state, entry_request const& request,
-                           backend_server const& server, time_point at);
+/// Records that a server began to answer the request, which clears the parts of
+/// its prompt, and reports this to routers that may suspect them.
+void record_proof(entry_state& state, entry_request const& request,
+                  time_point at);
 
 /// Ends the requests in flight that are refused because of a part of their
 /// prompt, unless their answer has begun.
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -108,6 +108,7 @@
 {
     state.deployment = std::move(message.deployment);
     update_servers(state, now(ctx));
+    confirm_crashes_of_ended_runs(state, ctx);
 }
 
 void handle(entry_state& state, entry_context& ctx, attempt_event event)
@@ -133,17 +134,28 @@
              gossip_suspect{suspect.fingerprint, suspect.server_hash});
 }
 
-/// Forwards a crash that was not known yet, as with suspects.
+/// Forwards a crash that was not known yet, as with suspects. Answers that
+/// clear its parts go to the other routers instead.
 void handle(entry_state& state, entry_context& ctx,
             peer_prompt_crash_received const& received)
 {
-    if (!decisions::record_prompt_crash(state.crashing_parts, received.crash,
-                                        now(ctx)))
+    for (auto const& answer :
+         decisions::answers_since(state.crashing_parts, received.crash))
+        send(state.peers_service, gossip_part_answer{answer});
+    if (!decisions::record_prompt_crash(state.crashing_parts, received.crash))
         return;
     send(state.peers_service, gossip_prompt_crash{received.crash});
     end_refused_requests(state, ctx);
 }
 
+/// Forwards an answer that cleared a part, as with suspects.
+void handle(entry_state& state, entry_context&,
+            peer_part_answer_received const& received)
+{
+    if (decisions::record_part_answer(state.crashing_parts, received.answer))
+        send(state.peers_service, gossip_part_answer{received.answer});
+}
+
 void handle(entry_state& state, entry_context&, fleet_changed message)
 {
     state.other_routers = std::move(message.others);
@@ -190,6 +202,7 @@
     decisions::remove_expired_loads(state.remote_loads, now(ctx));
     probe_stalled_streams(state, now(ctx));
     probe_ejected_servers(state, now(ctx));
+    end_refused_requests(state, ctx);
     local_load_report report;
     for (auto const& [id, server] : state.servers)
     {
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -128,6 +128,8 @@
     std::uint32_t sent_attempts = 0;
     /// True once a server may have executed the request.
     bool may_have_run = false;
+    /// It finds out whether a part of its prompt is sound.
+    bool is_trial = false;
     /// Server of the current attempt; empty when no attempt is in flight.
     server_id current_server;
     /// Hash of the run of the server that the last attempt was sent to.
@@ -155,6 +157,19 @@
     kernel::timer_id silence_timer = 0;
 };
 
+/// A connection that a server closed after a request was sent on it. It shows a
+/// crash only if the server's run has ended.
+struct possible_crash
+{
+    server_id server;
+    std::uint64_t run = 0; ///< Hash of the server's run.
+    request_id request;
+    std::uint64_t fingerprint = 0;
+    /// Empty if the server had sent bytes of an answer.
+    std::vector<prompt_part> prompt;
+    time_point at{};
+};
+
 struct entry_state
 {
     entry_options options;
@@ -166,6 +181,7 @@
     decisions::remote_loads remote_loads;
     decisions::crash_history crashes;
     decisions::crashing_parts crashing_parts;
+    std::vector<possible_crash> possible_crashes; ///< Oldest first.
     decisions::server_announcements announcements;
     std::vector<router_id> other_routers;
     kernel::address<backend_message> backend;
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -372,7 +372,7 @@
              "too little time left before the deadline to send the request"});
         return;
     }
-    if (is_quarantined(state, request, at))
+    if (is_quarantined(state, request, at) && !start_trial(state, request, at))
     {
         refuse_crashing_request(state, ctx, request);
         return;
--- a/source/services/entry/silence.cpp
+++ b/source/services/entry/silence.cpp
@@ -35,16 +35,6 @@
            can_go_on_elsewhere(request);
 }
 
-void send_probe(entry_state& state, backend_server& server)
-{
-    if (std::exchange(server.probe_in_flight, true))
-        return;
-    send(state.backend,
-         probe_server{.server = server.listed.id,
-                      .address = server.listed.address,
-                      .connect_limit = state.options.probe_timeout});
-}
-
 /// Aborts the current attempt and retries the request at another server, if
 /// there is one and the retry budget allows it.
 void retry_elsewhere(entry_state& state, entry_context& ctx,
@@ -76,6 +66,16 @@
 
 } // namespace
 
+void send_probe(entry_state& state, backend_server& server)
+{
+    if (std::exchange(server.probe_in_flight, true))
+        return;
+    send(state.backend,
+         probe_server{.server = server.listed.id,
+                      .address = server.listed.address,
+                      .connect_limit = state.options.probe_timeout});
+}
+
 void handle_silence_timeout(entry_state& state, entry_context& ctx,
                             entry_request& request)
 {
@@ -142,9 +142,14 @@
     if (probed.reachable)
     {
         server.last_response_at = at;
-        server.ejected = false;
+        // A server that broke a connection is left out for its time, although
+        // it runs.
+        if (!discard_crashes(state, probed.server) ||
+            at >= server.next_probe_at)
+            server.ejected = false;
         return;
     }
+    confirm_crashes(state, ctx, probed.server);
     record_server_failure(state, server, at, "unreachable");
     std::vector<request_id> silent;
     for (auto const& [id, request] : state.requests)
--- a/source/services/entry/suspects.cpp
+++ b/source/services/entry/suspects.cpp
@@ -4,11 +4,56 @@
 #include "common/digest.hpp"
 #include "common/request_id_text.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace bramleyarch::services
 {
 
+namespace
+{
+
+void record_crash_suspect(entry_state& state, possible_crash const& crash,
+                          time_point at)
+{
+    if (!decisions::record_crash(state.crashes, crash.fingerprint, crash.run,
+                                 at))
+        return;
+    count(state.telemetry_sink, counter::suspects_recorded);
+    send(state.peers_service, gossip_suspect{crash.fingerprint, crash.run});
+    log(state.telemetry_sink, log_severity::info, "request_suspected",
+        fmt::format(
+            "request={} fingerprint={:016x} server={} crashes={}",
+            to_text(crash.request), crash.fingerprint, crash.server.value,
+            state.crashes.requests.at(crash.fingerprint).servers.size()));
+}
+
+void record_prompt_suspect(entry_state& state, possible_crash const& possible)
+{
+    decisions::prompt_crash const crash{
+        .server = possible.run,
+        .at = possible.at,
+        .parts = decisions::suspected_parts(state.crashing_parts,
+                                            possible.prompt, possible.at)};
+    if (!decisions::record_prompt_crash(state.crashing_parts, crash))
+        return;
+    count(state.telemetry_sink, counter::suspects_recorded);
+    send(state.peers_service, gossip_prompt_crash{crash});
+    for (auto const part : crash.parts)
+    {
+        // Absent if too many parts are suspected.
+        auto const suspect = state.crashing_parts.suspects.find(part);
+        if (suspect == state.crashing_parts.suspects.end())
+            continue;
+        log(state.telemetry_sink, log_severity::info, "prompt_suspected",
+            fmt::format("request={} part={:x} server={} crashes={}",
+                        to_text(possible.request), part, possible.server.value,
+                        suspect->second.size()));
+    }
+}
+
+} // namespace
+
 std::uint64_t request_fingerprint(routed_request const& request)
 {
     auto const text = fmt::format("{} {} {} ", request.method, request.target,
@@ -21,52 +66,90 @@
                     time_point at)
 {
     if (decisions::should_refuse(state.crashing_parts,
-                                 request.routed.terms.prompt))
+                                 request.routed.terms.prompt, at))
         return true;
     return !state.crashes.requests.empty() &&
            decisions::should_refuse(state.crashes,
                                     request_fingerprint(request.routed), at);
 }
 
-void record_crash_suspect(entry_state& state, entry_request const& request,
-                          backend_server const& server, time_point at)
+bool start_trial(entry_state& state, entry_request& request, time_point at)
 {
-    auto const fingerprint = request_fingerprint(request.routed);
-    auto const server_start = run_of(server);
-    if (!decisions::record_crash(state.crashes, fingerprint, server_start, at))
-        return;
-    count(state.telemetry_sink, counter::suspects_recorded);
-    send(state.peers_service, gossip_suspect{fingerprint, server_start});
-    log(state.telemetry_sink, log_severity::info, "request_suspected",
-        fmt::format("request={} fingerprint={:016x} server={} crashes={}",
-                    to_text(request.routed.id), fingerprint,
-                    server.listed.id.value,
-                    state.crashes.requests.at(fingerprint).servers.size()));
+    if (decisions::should_refuse(state.crashes,
+                                 request_fingerprint(request.routed), at) ||
+        !decisions::start_trial(state.crashing_parts,
+                                request.routed.terms.prompt, state.options.self,
+                                state.other_routers, at))
+        return false;
+    request.is_trial = true;
+    log(state.telemetry_sink, log_severity::info, "prompt_tried",
+        fmt::format("request={}", to_text(request.routed.id)));
+    return true;
 }
 
-void record_prompt_suspect(entry_state& state, entry_request const& request,
-                           backend_server const& server, time_point at)
+void record_possible_crash(entry_state& state, entry_request const& request,
+                           backend_server& server, time_point at)
 {
-    decisions::prompt_crash const crash{
-        .server = run_of(server),
-        .at = at,
-        .parts = decisions::unproven_parts(state.crashing_parts,
-                                           request.routed.terms.prompt, at)};
-    if (!decisions::record_prompt_crash(state.crashing_parts, crash, at))
+    constexpr std::size_t max_possible_crashes = 256;
+    if (state.possible_crashes.size() >= max_possible_crashes)
+        state.possible_crashes.erase(state.possible_crashes.begin());
+    state.possible_crashes.push_back(
+        {.server = server.listed.id,
+         .run = request.server_run,
+         .request = request.routed.id,
+         .fingerprint = request_fingerprint(request.routed),
+         .prompt = request.attempt_bytes == 0 ? request.routed.terms.prompt
+                                              : std::vector<prompt_part>{},
+         .at = at});
+    send_probe(state, server);
+}
+
+void confirm_crashes(entry_state& state, entry_context& ctx,
+                     server_id const& server)
+{
+    auto const is_of_server = [&](possible_crash const& crash)
+    { return crash.server == server; };
+    if (std::ranges::none_of(state.possible_crashes, is_of_server))
         return;
-    count(state.telemetry_sink, counter::suspects_recorded);
-    send(state.peers_service, gossip_prompt_crash{crash});
-    for (auto const part : crash.parts)
+    for (auto const& crash : state.possible_crashes)
     {
-        // Absent if too many parts are suspected.
-        auto const suspect = state.crashing_parts.suspects.find(part);
-        if (suspect == state.crashing_parts.suspects.end())
+        if (!is_of_server(crash))
             continue;
-        log(state.telemetry_sink, log_severity::info, "prompt_suspected",
-            fmt::format("request={} part={:x} server={} crashes={}",
-                        to_text(request.routed.id), part,
-                        server.listed.id.value, suspect->second.size()));
+        record_crash_suspect(state, crash, now(ctx));
+        record_prompt_suspect(state, crash);
     }
+    std::erase_if(state.possible_crashes, is_of_server);
+    end_refused_requests(state, ctx);
+}
+
+bool discard_crashes(entry_state& state, server_id const& server)
+{
+    return std::erase_if(state.possible_crashes,
+                         [&](possible_crash const& crash)
+                         { return crash.server == server; }) > 0;
+}
+
+void confirm_crashes_of_ended_runs(entry_state& state, entry_context& ctx)
+{
+    auto const possible = state.possible_crashes;
+    for (auto const& crash : possible)
+    {
+        auto const server = state.servers.find(crash.server);
+        if (server == state.servers.end())
+            discard_crashes(state, crash.server);
+        else if (run_of(server->second) != crash.run)
+            confirm_crashes(state, ctx, crash.server);
+    }
+}
+
+void record_proof(entry_state& state, entry_request const& request,
+                  time_point at)
+{
+    if (!is_success(request.attempt_status))
+        return;
+    for (auto const& answer : decisions::record_prompt_answer(
+             state.crashing_parts, request.routed.terms.prompt, at))
+        send(state.peers_service, gossip_part_answer{answer});
 }
 
 void clear_crash_suspect(entry_state& state, entry_request const& request)
@@ -94,10 +177,10 @@
     std::vector<request_id> refused;
     for (auto const& [id, request] : state.requests)
     {
-        if (request.attempt_bytes == 0 &&
+        if (!request.is_trial && request.attempt_bytes == 0 &&
             request.stage == request_stage::awaiting_answer &&
             decisions::should_refuse(state.crashing_parts,
-                                     request.routed.terms.prompt))
+                                     request.routed.terms.prompt, now(ctx)))
             refused.push_back(id);
     }
     for (auto const& id : refused)
--- a/source/services/messages/peers.hpp
+++ b/source/services/messages/peers.hpp
@@ -39,6 +39,12 @@
     decisions::prompt_crash crash;
 };
 
+/// Gossips an answer that clears a part of prompts of earlier crashes.
+struct gossip_part_answer
+{
+    decisions::part_answer answer;
+};
+
 /// Delivered by the peers service's own timers.
 struct peers_tick
 {
@@ -46,7 +52,7 @@
 
 using peers_message =
     std::variant<routers_listed, known_revisions, local_load_report,
-                 gossip_suspect, gossip_prompt_crash, drain_started,
-                 status_query, peers_tick>;
+                 gossip_suspect, gossip_prompt_crash, gossip_part_answer,
+                 drain_started, status_query, peers_tick>;
 
 } // namespace bramleyarch::services
--- a/source/services/messages/routing.hpp
+++ b/source/services/messages/routing.hpp
@@ -92,6 +92,12 @@
     decisions::prompt_crash crash;
 };
 
+/// Another router reported an answer that clears a part of prompts.
+struct peer_part_answer_received
+{
+    decisions::part_answer answer;
+};
+
 /// A reload of the settings set the limits that apply to all routers together.
 struct shared_limits_changed
 {
@@ -111,7 +117,7 @@
                  drain_started, status_query, routing_tick, request_expired,
                  idle_query, request_check_due, link_opened, deployment_changed,
                  attempt_event, peer_heartbeat_received, peer_suspect_received,
-                 peer_prompt_crash_received, fleet_changed,
-                 shared_limits_changed>;
+                 peer_prompt_crash_received, peer_part_answer_received,
+                 fleet_changed, shared_limits_changed>;
 
 } // namespace bramleyarch::services
--- a/source/services/peers/peers_service.cpp
+++ b/source/services/peers/peers_service.cpp
@@ -142,6 +142,12 @@
                                  .at = peer.last_seen -
                                        std::chrono::milliseconds{crash.age_ms},
                                  .parts = std::move(crash.parts)}});
+    for (auto const& answer : heartbeat.part_answers)
+        send(state.routing,
+             peer_part_answer_received{
+                 {.part = answer.part,
+                  .at = peer.last_seen -
+                        std::chrono::milliseconds{answer.age_ms}}});
     send(state.routing, peer_heartbeat_received{std::move(heartbeat)});
 }
 
@@ -183,6 +189,24 @@
                   { return pending.rounds_left <= 0; });
 }
 
+/// Adds the oldest answers to a heartbeat; the others follow in later rounds.
+void add_part_answers(peers_state& state, decisions::peer_heartbeat& heartbeat)
+{
+    constexpr std::size_t max_answers = 64;
+    for (auto& pending : state.part_answers)
+    {
+        if (heartbeat.part_answers.size() >= max_answers)
+            break;
+        heartbeat.part_answers.push_back(
+            {.part = pending.answer.part,
+             .age_ms = static_cast<std::uint32_t>(
+                 to_ms(now(*state.clock) - pending.answer.at))});
+        --pending.rounds_left;
+    }
+    std::erase_if(state.part_answers, [](pending_part_answer const& pending)
+                  { return pending.rounds_left <= 0; });
+}
+
 /// Sends one round of heartbeats. Peers of the same domain receive the loads
 /// of this router, peers of other domains those of its whole domain.
 void handle_message(peers_state& state, context&, local_load_report report)
@@ -204,6 +228,7 @@
     std::erase_if(state.suspects, [](pending_suspect const& suspect)
                   { return suspect.rounds_left <= 0; });
     add_prompt_crashes(state, heartbeat);
+    add_part_answers(state, heartbeat);
     auto const round =
         next_heartbeat_targets(state.rotation, state.options.rotation);
     heartbeat.loads = std::move(report.local);
@@ -238,6 +263,26 @@
     state.prompt_crashes.push_back({gossip.crash, rounds_per_suspect});
 }
 
+/// Adds an answer to the next heartbeats. It takes the place of an earlier one
+/// for the same part.
+void handle_message(peers_state& state, context&,
+                    gossip_part_answer const& gossip)
+{
+    constexpr std::size_t max_answers = 256;
+    auto const same_part = [&](pending_part_answer const& pending)
+    { return pending.answer.part == gossip.answer.part; };
+    auto const known = std::ranges::find_if(state.part_answers, same_part);
+    if (known != state.part_answers.end())
+    {
+        known->answer.at = std::max(known->answer.at, gossip.answer.at);
+        known->rounds_left = rounds_per_suspect;
+        return;
+    }
+    if (state.part_answers.size() >= max_answers)
+        state.part_answers.erase(state.part_answers.begin());
+    state.part_answers.push_back({gossip.answer, rounds_per_suspect});
+}
+
 void handle_message(peers_state&, context&, drain_started) {}
 
 void handle_message(peers_state& state, context&, status_query const& query)
--- a/source/services/peers/peers_service.hpp
+++ b/source/services/peers/peers_service.hpp
@@ -64,6 +64,13 @@
     int rounds_left = 0;
 };
 
+/// An answer to send in the next heartbeat rounds, as `pending_suspect`.
+struct pending_part_answer
+{
+    decisions::part_answer answer;
+    int rounds_left = 0;
+};
+
 struct peers_state
 {
     peers_options options;
@@ -76,6 +83,7 @@
     std::vector<router_id> reported_peers;
     std::vector<pending_suspect> suspects;            ///< Oldest first.
     std::vector<pending_prompt_crash> prompt_crashes; ///< Oldest first.
+    std::vector<pending_part_answer> part_answers;    ///< Oldest first.
     known_revisions local_revisions; ///< Newest known to this router.
     known_revisions peer_revisions;  ///< Newest received in heartbeats.
     kernel::address<routing_message> routing;
--- a/source/services/routing/routing_service.cpp
+++ b/source/services/routing/routing_service.cpp
@@ -141,6 +141,7 @@
     std::same_as<Message, peer_heartbeat_received> ||
     std::same_as<Message, peer_suspect_received> ||
     std::same_as<Message, peer_prompt_crash_received> ||
+    std::same_as<Message, peer_part_answer_received> ||
     std::same_as<Message, shared_limits_changed> ||
     std::same_as<Message, fleet_changed>
 void handle(routing_state&, routing_context&, Message const&) {}
--- a/source/wire/peer_heartbeats.cpp
+++ b/source/wire/peer_heartbeats.cpp
@@ -23,13 +23,19 @@
     archive(crash.server, crash.age_ms, crash.parts);
 }
 
+template <class Archive>
+void serialize(Archive& archive, aged_part_answer& answer)
+{
+    archive(answer.part, answer.age_ms);
+}
+
 template <class Archive>
 void serialize(Archive& archive, peer_heartbeat& heartbeat)
 {
     archive(heartbeat.from, heartbeat.domain, heartbeat.started,
             heartbeat.sequence, heartbeat.rules_revision,
             heartbeat.servers_revision, heartbeat.loads, heartbeat.suspects,
-            heartbeat.prompt_crashes);
+            heartbeat.prompt_crashes, heartbeat.part_answers);
 }
 
 } // namespace bramleyarch::decisions
@@ -41,7 +47,7 @@
 {
 
 /// First bytes of a heartbeat; the last one is the version of the encoding.
-constexpr std::string_view peer_heartbeat_magic{"brP\x03"};
+constexpr std::string_view peer_heartbeat_magic{"brP\x04"};
 
 constexpr std::size_t max_peer_heartbeat_bytes = 16U << 10;
 
--- a/tests/unit/services/entry/fixture.hpp
+++ b/tests/unit/services/entry/fixture.hpp
@@ -209,6 +209,15 @@
                                .kept_connection = kept_connection});
     }
 
+    /// Lets the server of the last attempt crash: the connection ends, and a
+    /// probe does not reach the server.
+    void crash_server_of_last_attempt(bool kept_connection = false)
+    {
+        auto const server = backend->sent.back().server;
+        fail_last_attempt(true, kept_connection);
+        deliver(server_probed{.server = server, .reachable = false});
+    }
+
     revision last_change = 0;
     /// Whether submitted requests differ, so that none repeats another.
     bool distinct_targets = false;
--- a/tests/unit/services/peers/peers_service_test.cpp
+++ b/tests/unit/services/peers/peers_service_test.cpp
@@ -134,6 +134,30 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(answers_that_clear_parts_travel_with_their_age)
+{
+    send_heartbeat({.from = {"r2"},
+                    .started = 5,
+                    .sequence = 1,
+                    .part_answers = {{33, 4000}}});
+    run_until(
+        [this]
+        { return !received<peer_part_answer_received>(*routing).empty(); });
+    auto const answer =
+        received<peer_part_answer_received>(*routing).front().answer;
+    BOOST_TEST(answer.part == 33U);
+    BOOST_TEST((now(test_kernel.clock()) - answer.at >= 4s));
+    send(peers, gossip_part_answer{{33, answer.at - 1s}});
+    send(peers, gossip_part_answer{answer});
+    send(peers, local_load_report{});
+    run_until([this] { return !received_heartbeats.empty(); });
+    auto const& sent = received_heartbeats.front().part_answers;
+    BOOST_REQUIRE(sent.size() == 1U);
+    BOOST_TEST(sent[0].part == 33U);
+    BOOST_TEST(sent[0].age_ms >= 4000U);
+    BOOST_TEST(sent[0].age_ms < 4900U);
+}
+
 BOOST_AUTO_TEST_CASE(crashes_of_prompt_parts_travel_with_their_age)
 {
     send_heartbeat({.from = {"r2"},
