--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 lint: build
 	tools/format.sh --check
-	tools/lint.sh
+	tools/lint.py
 
 unit: build
 	ctest --test-dir build --output-on-failure -L unit
