Keep no connection that the request asked to close

Cause: a retry goes on a connection of its own, with connection: close. Where the server's whole answer did not repeat that, the connection was kept, and the next request could be sent on it while the server closed it: one that may not be repeated ended with 502. Found by broken_answers_test, four 502s, then 16 in ten runs side by side; the log shows each on such a connection, with no byte and never read by the server. Change: only a connection whose request may reuse one is kept. Measured: connection_that_was_to_close_carries_no_further_request fails without the change; ten runs of broken_answers_test side by side have no 502, and the test takes none any more.

--- a/source/http/client_io.cpp
+++ b/source/http/client_io.cpp
@@ -130,7 +130,9 @@
     auto const id = s.request.id;
     c.serials.erase(id);
     report(c, response_end{id});
-    bool const reusable = s.parser.keep_alive &&
+    // The request said `connection: close` if it may not reuse one, so the
+    // server closes, whatever its answer says.
+    bool const reusable = s.request.may_reuse && s.parser.keep_alive &&
                           !is_refusal(s.parser.head.status) && s.held.empty() &&
                           !s.peer_closed && net::queued(*s.socket) == 0;
     if (!reusable || c.idle[s.to].size() >= c.options.max_idle_per_server)
--- a/tests/unit/http/client_test.cpp
+++ b/tests/unit/http/client_test.cpp
@@ -51,6 +51,25 @@
     }
 }
 
+// Guards against a request that is lost on a connection which the server is about
+// to close, as an earlier request on it asked.
+BOOST_AUTO_TEST_CASE(connection_that_was_to_close_carries_no_further_request)
+{
+    testing::raw_server server{
+        {.parts = {testing::plain_answer("one")}, .then = ending::hold}};
+    http::open(*client, request_to(server.port()));
+    finish();
+    BOOST_TEST(seen.ends == 1U);
+    seen = {};
+    auto request = request_to(server.port());
+    request.may_reuse = true;
+    request.silence_limit = 500ms;
+    http::open(*client, std::move(request));
+    finish();
+    BOOST_TEST(seen.ends == 1U);
+    BOOST_TEST(server.requests().size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_kept_connection_that_answers_no_more_says_so)
 {
     // The scripted server reads one request of each connection.
--- a/tests/unit/platform/broken_answers_test.cpp
+++ b/tests/unit/platform/broken_answers_test.cpp
@@ -231,9 +231,7 @@
                     auto const answer = path.call(route);
                     auto const shown =
                         stream.name + " " + route + " " + other.parts.front();
-                    if (answer.status == 502)
-                        continue;
-                    BOOST_TEST(answer.status == 200, shown << answer.status);
+                    BOOST_TEST(answer.status == 200, shown);
                     BOOST_TEST(answer.body == begin, shown);
                     BOOST_TEST(!answer.complete, shown);
                 }
