--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -2,7 +2,6 @@
 
 #include "common/request_id_text.hpp"
 
-#include <algorithm>
 #include <fmt/format.h>
 #include <utility>
 
@@ -14,26 +13,6 @@
 
 constexpr int min_server_error_status = 500;
 
-/// All parts of an answer are sent to the caller under this attempt number,
-/// even if several attempts contributed to it.
-constexpr std::uint32_t answer_attempt_number = 1;
-
-attempt_id answer_id(entry_request const& request)
-{
-    return {request.routed.id, answer_attempt_number};
-}
-
-/// Ends the current attempt here, without aborting it at its server.
-void release_attempt(entry_state& state, entry_context& ctx,
-                     entry_request& request)
-{
-    cancel(ctx, std::exchange(request.silence_timer, 0));
-    if (auto* const server = find_current_server(state, request);
-        server && server->local_in_flight > 0)
-        --server->local_in_flight;
-    request.current_server = {};
-}
-
 /// Returns the ids of a prompt's parts, separated by commas.
 std::string prompt_text(std::vector<prompt_part> const& prompt)
 {
@@ -84,33 +63,6 @@
     return bytes;
 }
 
-void complete_request(entry_state& state, entry_context& ctx,
-                      entry_request& request)
-{
-    auto const at = now(ctx);
-    count(state.telemetry_sink, counter::requests_answered);
-    sample(state.telemetry_sink, latency_kind::whole_answer,
-           at - request.routed.terms.received);
-    log(state.telemetry_sink, log_severity::info, "request_answered",
-        fmt::format("request={} server={} attempts={} chunks={} bytes={} "
-                    "took_ms={} outcome=answered",
-                    to_text(request.routed.id), request.current_server.value,
-                    request.sent_attempts, request.forwarded_chunks,
-                    request.forwarded_bytes,
-                    to_ms(at - request.routed.terms.received)));
-    if (is_success(request.attempt_status))
-        decisions::record_answer_time(state.answer_times,
-                                      request.routed.terms.route,
-                                      at - request.routed.terms.received, at);
-    clear_crash_suspect(state, request);
-    if (request.attempt_bytes < state.options.min_proof_bytes)
-        record_proof(state, request, at);
-    request.reply(answer_end{.attempt = answer_id(request),
-                             .chunks = request.forwarded_chunks,
-                             .bytes = request.forwarded_bytes});
-    remove_request(state, ctx, request);
-}
-
 /// Returns whether a server error should be retried at another server instead
 /// of being forwarded.
 bool should_retry_error(entry_state& state, entry_request const& request,
@@ -129,67 +81,6 @@
     count(state.telemetry_sink, counter::offers_sent);
 }
 
-/// Logs an attempt whose answer is not used.
-void log_rejected(entry_state& state, entry_request const& request,
-                  std::string_view reason, int status)
-{
-    log(state.telemetry_sink, log_severity::info, "attempt_failed",
-        fmt::format("request={} attempt={} server={} status={} standing={} "
-                    "answer_bytes={}",
-                    to_text(request.routed.id), request.attempt_number,
-                    request.current_server.value, status, reason,
-                    request.attempt_bytes));
-}
-
-/// Discards an answer that must not be forwarded and retries the request if
-/// that is allowed.
-void reject_answer(entry_state& state, entry_context& ctx,
-                   entry_request& request, answer_kind kind, int status)
-{
-    auto* const server = find_current_server(state, request);
-    if (server && kind == answer_kind::misdirected)
-        server->misdirected = true;
-    if (server && kind == answer_kind::foreign)
-        record_server_failure(state, *server, now(ctx), "foreign_answer");
-    if (kind == answer_kind::foreign)
-    {
-        request.may_have_run = true;
-        count(state.telemetry_sink, counter::answers_foreign);
-    }
-    // The attempt reached another server and ran nowhere, so it does not count
-    // towards the attempt limit.
-    if (kind == answer_kind::misdirected)
-        --request.sent_attempts;
-    auto const detail =
-        fmt::format("server {} answered {} ({})", request.current_server.value,
-                    status, to_name(kind));
-    log_rejected(state, request, to_name(kind), status);
-    abort_current_attempt(state, ctx, request);
-    retry_or_fail(state, ctx, request,
-                  {kind == answer_kind::foreign ? error_kind::server_protocol
-                                                : error_kind::queue_full,
-                   detail});
-}
-
-/// Discards an answer that does not go on with the stream which the caller has
-/// received a part of, and tries another server if that is allowed.
-void reject_continuation(entry_state& state, entry_context& ctx,
-                         entry_request& request, std::string_view reason)
-{
-    bool const restarted =
-        request.cursor.continued == decisions::continuation::restarted;
-    count(state.telemetry_sink, restarted ? counter::streams_restarted
-                                          : counter::streams_not_continued);
-    if (auto* const server = find_current_server(state, request))
-        record_server_failure(state, *server, now(ctx), reason);
-    log_rejected(state, request, reason, request.attempt_status);
-    auto detail = fmt::format("server {} did not go on with the stream: {}",
-                              request.current_server.value, reason);
-    abort_current_attempt(state, ctx, request);
-    retry_or_fail(state, ctx, request,
-                  {error_kind::server_protocol, std::move(detail)});
-}
-
 /// Returns whether the head is one of the stream that the caller receives.
 bool continues_stream(entry_request const& request, backend_head const& head)
 {
@@ -333,17 +224,6 @@
     forward_answer_bytes(state, ctx, request, std::move(chunk.bytes));
 }
 
-/// Counts an answer that was broken off, by where that was.
-void count_broken_answer(entry_state& state, backend_failed const& failed)
-{
-    if (failed.cause.kind == error_kind::server_protocol)
-        count(state.telemetry_sink, counter::answers_malformed);
-    else if (failed.progress == answer_progress::in_head)
-        count(state.telemetry_sink, counter::answers_cut_in_head);
-    else if (failed.progress == answer_progress::in_body)
-        count(state.telemetry_sink, counter::answers_cut_in_body);
-}
-
 void handle_event(entry_state& state, entry_context& ctx,
                   entry_request& request, backend_failed const& failed)
 {
@@ -448,29 +328,6 @@
         event);
 }
 
-outcome failure_outcome(entry_request const& request)
-{
-    if (request.stage == request_stage::forwarding_answer)
-        return outcome::failed;
-    // An attempt in flight may be sending the request at this moment.
-    bool const in_flight = !request.current_server.empty();
-    return request.may_have_run || in_flight ? outcome::unknown
-                                             : outcome::not_run;
-}
-
-counter outcome_counter(outcome known)
-{
-    switch (known)
-    {
-    case outcome::not_run:
-        return counter::requests_not_run;
-    case outcome::unknown:
-        return counter::requests_unknown;
-    default:
-        return counter::requests_failed;
-    }
-}
-
 } // namespace
 
 void handle_attempt_event(entry_state& state, entry_context& ctx,
@@ -507,39 +364,4 @@
         std::move(event));
 }
 
-void fail_request(entry_state& state, entry_context& ctx,
-                  entry_request& request, error cause, duration retry_after)
-{
-    auto const known = failure_outcome(request);
-    count(state.telemetry_sink, outcome_counter(known));
-    log(state.telemetry_sink, log_severity::info, "request_ended",
-        fmt::format("request={} caller_id={} route={} reason={} detail=\"{}\" "
-                    "outcome={} attempts={} took_ms={} retry_after_ms={}",
-                    to_text(request.routed.id),
-                    field_text(request.routed.terms.caller_id),
-                    request.routed.terms.route, to_name(cause.kind),
-                    cause.detail, to_name(known), request.sent_attempts,
-                    to_ms(now(ctx) - request.routed.terms.received),
-                    to_ms(retry_after)));
-    request.reply(answer_error{.attempt = answer_id(request),
-                               .cause = std::move(cause),
-                               .known = known,
-                               .retry_after = known == outcome::not_run
-                                                  ? retry_after
-                                                  : duration::zero()});
-    abort_current_attempt(state, ctx, request);
-    remove_request(state, ctx, request);
-}
-
-void remove_request(entry_state& state, entry_context& ctx,
-                    entry_request& request)
-{
-    if (!request.current_server.empty())
-        release_attempt(state, ctx, request);
-    cancel(ctx, request.silence_timer);
-    cancel(ctx, request.deadline_timer);
-    auto const id = request.routed.id;
-    state.requests.erase(id);
-}
-
 } // namespace bramleyarch::services
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -6,6 +6,16 @@
 namespace bramleyarch::services
 {
 
+/// All parts of an answer are sent to the caller under this attempt number,
+/// even if several attempts contributed to it.
+inline constexpr std::uint32_t answer_attempt_number = 1;
+
+/// Returns the id under which an answer is sent to its caller.
+inline attempt_id answer_id(entry_request const& request)
+{
+    return {request.routed.id, answer_attempt_number};
+}
+
 /// Returns whether the status of an answer says that the request succeeded.
 constexpr bool is_success(int status)
 {
@@ -72,10 +82,27 @@
 void abort_current_attempt(entry_state& state, entry_context& ctx,
                            entry_request& request);
 
+/// Ends the current attempt here, without aborting it at its server.
+void release_attempt(entry_state& state, entry_context& ctx,
+                     entry_request& request);
+
 /// Handles an event of an attempt or the result of a probe.
 void handle_attempt_event(entry_state& state, entry_context& ctx,
                           attempt_event event);
 
+/// Discards an answer that must not be forwarded and retries the request if
+/// that is allowed.
+void reject_answer(entry_state& state, entry_context& ctx,
+                   entry_request& request, answer_kind kind, int status);
+
+/// Discards an answer that does not go on with the stream which the caller has
+/// received a part of, and tries another server if that is allowed.
+void reject_continuation(entry_state& state, entry_context& ctx,
+                         entry_request& request, std::string_view reason);
+
+/// Counts an answer that was broken off, by where that was.
+void count_broken_answer(entry_state& state, backend_failed const& failed);
+
 /// Returns a hash that is equal for a request and its repeats by the caller.
 std::uint64_t request_fingerprint(routed_request const& request);
 
@@ -133,6 +160,10 @@
 /// nothing, or whole events of a stream that may be resumed.
 bool can_go_on_elsewhere(entry_request const& request);
 
+/// Ends a request whose answer is complete, and removes it.
+void complete_request(entry_state& state, entry_context& ctx,
+                      entry_request& request);
+
 /// Ends the request without a complete answer and removes it.
 void fail_request(entry_state& state, entry_context& ctx,
                   entry_request& request, error cause,
--- a/tests/unit/http/client_test.cpp
+++ b/tests/unit/http/client_test.cpp
@@ -51,8 +51,8 @@
     }
 }
 
-// Guards against a request that is lost on a connection which the server is about
-// to close, as an earlier request on it asked.
+// Guards against a request that is lost on a connection which the server is
+// about to close, as an earlier request on it asked.
 BOOST_AUTO_TEST_CASE(connection_that_was_to_close_carries_no_further_request)
 {
     testing::raw_server server{
--- a/tests/unit/http/server_test.cpp
+++ b/tests/unit/http/server_test.cpp
@@ -1,124 +1,18 @@
 /// Tests of the HTTP server with callers that write any bytes.
-#include "http/server.hpp"
-#include "raw_caller.hpp"
-
-#include <boost/test/unit_test.hpp>
+#include "server_fixture.hpp"
 
 #include <ctime>
 #include <random>
 
 using namespace bramleyarch;
 using namespace std::chrono_literals;
+using testing::get;
+using testing::post;
 using testing::raw_caller;
 
 namespace
 {
 
-struct recording
-{
-    std::vector<http::request_received> requests;
-    std::vector<http::request_refused> refused;
-    std::vector<http::exchange_id> sent;
-    std::vector<http::exchange_id> left;
-    std::size_t taken = 0;
-    std::size_t connections = 0;
-    std::size_t connections_refused = 0;
-};
-
-void record(recording& into, http::server_event event)
-{
-    if (auto* e = std::get_if<http::request_received>(&event))
-        into.requests.push_back(std::move(*e));
-    if (auto* e = std::get_if<http::request_refused>(&event))
-        into.refused.push_back(std::move(*e));
-    if (auto* e = std::get_if<http::answer_sent>(&event))
-        into.sent.push_back(e->id);
-    if (auto* e = std::get_if<http::caller_left>(&event))
-        into.left.push_back(e->id);
-    if (auto* e = std::get_if<http::bytes_taken>(&event))
-        into.taken += e->bytes;
-    if (std::holds_alternative<http::connection_accepted>(event))
-        ++into.connections;
-    if (std::holds_alternative<http::connection_refused>(event))
-        ++into.connections_refused;
-}
-
-struct fixture
-{
-    recording seen;
-    http::server_ptr server =
-        http::make_server({.on_event = [this](http::server_event e)
-                           { record(seen, std::move(e)); },
-                           .listen = {"127.0.0.1", 0},
-                           .max_connections = 20,
-                           .max_body_bytes = 100'000,
-                           .head_limit = 300ms,
-                           .body_limit = 300ms,
-                           .write_limit = 400ms})
-            .value();
-
-    template <class Condition>
-    void run_until(Condition done)
-    {
-        auto const limit = std::chrono::steady_clock::now() + 20s;
-        while (!done() && std::chrono::steady_clock::now() < limit)
-            http::wait(*server, 5ms);
-        BOOST_REQUIRE(done());
-    }
-
-    void run_for(duration time)
-    {
-        auto const limit = std::chrono::steady_clock::now() + time;
-        while (std::chrono::steady_clock::now() < limit)
-            http::wait(*server, limit - std::chrono::steady_clock::now());
-    }
-
-    http::request_received take_request()
-    {
-        run_until([this] { return !seen.requests.empty(); });
-        auto request = std::move(seen.requests.front());
-        seen.requests.erase(seen.requests.begin());
-        return request;
-    }
-
-    http::request_refused take_refusal()
-    {
-        run_until([this] { return !seen.refused.empty(); });
-        auto refusal = std::move(seen.refused.front());
-        seen.refused.erase(seen.refused.begin());
-        return refusal;
-    }
-
-    void read_until(raw_caller& caller, std::string const& end)
-    {
-        run_until(
-            [&]
-            {
-                caller.poll();
-                return caller.received.ends_with(end);
-            });
-    }
-
-    void read_until_closed(raw_caller& caller)
-    {
-        run_until(
-            [&]
-            {
-                caller.poll();
-                return caller.closed;
-            });
-    }
-};
-
-std::string const get = "GET /stock?part=a%26b&n=1+2 HTTP/1.1\r\n"
-                        "host: x\r\nX-Chat-Id: c1\r\n\r\n";
-
-std::string post(std::string const& body)
-{
-    return "POST /book HTTP/1.1\r\nhost: x\r\ncontent-length: " +
-           std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 /// Text that shows where each of its bytes belongs.
 std::string numbered(std::size_t size)
 {
@@ -131,7 +25,7 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(http_server, fixture)
+BOOST_FIXTURE_TEST_SUITE(http_server, testing::server_fixture)
 
 BOOST_AUTO_TEST_CASE(request_is_read_and_answered_in_chunks)
 {
@@ -339,131 +233,6 @@
     read_until_closed(*callers.back());
 }
 
-BOOST_AUTO_TEST_CASE(slow_caller_leaves_bytes_queued_and_is_cut_off)
-{
-    raw_caller caller{http::port_of(*server)};
-    caller.write(get);
-    auto const request = take_request();
-    http::start_answer(*server, request.id, {});
-    std::string const part(100'000, 'p');
-    std::size_t sent = 0;
-    auto const taken_all = [&] { return seen.taken == sent; };
-    while (taken_all() && sent < 100'000'000)
-    {
-        http::send_bytes(*server, request.id, part);
-        sent += part.size();
-        for (int n = 0; n < 20 && !taken_all(); ++n)
-            http::wait(*server, 5ms);
-    }
-    BOOST_REQUIRE(!taken_all());
-    BOOST_TEST(http::queued_bytes(*server, request.id) == sent - seen.taken);
-    run_until([this] { return seen.left.size() == 1; });
-    BOOST_TEST(http::open_exchanges(*server) == 0U);
-    read_until_closed(caller);
-    BOOST_TEST(!caller.received.ends_with("0\r\n\r\n"));
-}
-
-BOOST_AUTO_TEST_CASE(a_slow_answer_is_not_the_callers_delay)
-{
-    raw_caller caller{http::port_of(*server)};
-    caller.write(get);
-    auto const request = take_request();
-    run_for(1s);
-    BOOST_TEST(seen.left.empty());
-    http::send_answer(*server, request.id, {}, "late");
-    read_until(caller, "late");
-}
-
-BOOST_AUTO_TEST_CASE(leaving_callers_are_noticed)
-{
-    for (bool const reset : {false, true})
-    {
-        for (bool const started : {false, true})
-        {
-            seen = {};
-            raw_caller caller{http::port_of(*server)};
-            caller.write(get);
-            auto const request = take_request();
-            if (started)
-            {
-                http::start_answer(*server, request.id, {});
-                http::send_bytes(*server, request.id, "part");
-                read_until(caller, "part\r\n");
-            }
-            reset ? caller.reset() : caller.close();
-            auto const cpu = std::clock();
-            run_until([this] { return seen.left.size() == 1; });
-            BOOST_TEST(http::open_exchanges(*server) == 0U);
-            BOOST_TEST(double(std::clock() - cpu) / CLOCKS_PER_SEC < 0.2);
-        }
-    }
-}
-
-BOOST_AUTO_TEST_CASE(incomplete_answers_never_look_complete)
-{
-    raw_caller chunked{http::port_of(*server)};
-    chunked.write(get);
-    auto request = take_request();
-    http::start_answer(*server, request.id, {});
-    http::send_bytes(*server, request.id, "part");
-    read_until(chunked, "part\r\n");
-    http::break_answer(*server, request.id);
-    read_until_closed(chunked);
-    BOOST_TEST(!chunked.received.ends_with("0\r\n\r\n"));
-
-    raw_caller counted{http::port_of(*server)};
-    counted.write(get);
-    request = take_request();
-    http::start_answer(*server, request.id, {.length = 9});
-    http::send_bytes(*server, request.id, "part");
-    http::end_answer(*server, request.id);
-    read_until_closed(counted);
-    BOOST_TEST(http::open_exchanges(*server) == 0U);
-    BOOST_TEST(seen.sent.empty());
-}
-
-BOOST_AUTO_TEST_CASE(broken_answers_send_what_is_queued_but_no_end)
-{
-    raw_caller caller{http::port_of(*server)};
-    caller.write(get);
-    auto const request = take_request();
-    http::start_answer(*server, request.id, {});
-    http::send_bytes(*server, request.id, "event: error");
-    http::break_answer(*server, request.id);
-    read_until_closed(caller);
-    BOOST_TEST(caller.received.ends_with("event: error\r\n"));
-}
-
-// Guards against bytes that a caller takes for the next answer, and against a
-// cut answer that has its stated length.
-BOOST_AUTO_TEST_CASE(answer_beyond_its_stated_length_is_cut_before_it)
-{
-    raw_caller caller{http::port_of(*server)};
-    caller.write(get);
-    auto const id = take_request().id;
-    http::start_answer(*server, id, {.status = 200, .length = 4});
-    http::send_bytes(*server, id, "ab");
-    read_until(caller, "ab");
-    http::send_bytes(*server, id, "cdefg");
-    http::end_answer(*server, id);
-    read_until_closed(caller);
-    BOOST_TEST(caller.received.ends_with("\r\n\r\nab"), caller.received);
-}
-
-BOOST_AUTO_TEST_CASE(answers_that_may_have_no_body_are_not_chunked)
-{
-    for (int const status : {204, 304})
-    {
-        raw_caller caller{http::port_of(*server)};
-        caller.write(get);
-        auto const request = take_request();
-        http::start_answer(*server, request.id, {.status = status});
-        http::end_answer(*server, request.id);
-        read_until(caller, "\r\n\r\n");
-        BOOST_TEST((caller.received.find("chunked") == std::string::npos));
-    }
-}
-
 BOOST_AUTO_TEST_CASE(waiting_does_not_spin)
 {
     raw_caller caller{http::port_of(*server)};
