Count crashes of prompt parts at once, and let more answers travel

What refused sound parts at 1,000 routers were answers that waited for room in heartbeats. Change: crashes count at once; a heartbeat has up to 256 answers instead of 64.

--- a/source/decisions/crashing_parts.cpp
+++ b/source/decisions/crashing_parts.cpp
@@ -37,17 +37,7 @@
     return counted;
 }
 
-bool has_enough_crashes(crashing_parts const& state, crash_list const& crashes,
-                        time_point at)
-{
-    auto const counted = counted_crashes(state, crashes);
-    return counted.size() == state.options.max_crashes &&
-           at - counted.back().at >= state.options.settle_time;
-}
-
-/// Returns whether there are as many crashes as lead to a refusal, settled or
-/// not.
-bool may_lead_to_refusal(crashing_parts const& state, crash_list const& crashes)
+bool has_enough_crashes(crashing_parts const& state, crash_list const& crashes)
 {
     return counted_crashes(state, crashes).size() == state.options.max_crashes;
 }
@@ -148,7 +138,7 @@
 /// the last one, which the fewest requests share.
 std::optional<std::uint64_t>
 find_culprit(crashing_parts const& state,
-             std::vector<prompt_part> const& prompt, time_point at)
+             std::vector<prompt_part> const& prompt)
 {
     if (state.suspects.empty() || prompt.empty())
         return std::nullopt;
@@ -157,7 +147,7 @@
         auto const part = prompt[i - 1].id;
         auto const found = state.suspects.find(part);
         if (found == state.suspects.end() ||
-            !has_enough_crashes(state, found->second, at))
+            !has_enough_crashes(state, found->second))
             continue;
         auto const is_explained = [&](auto const& other)
         {
@@ -229,16 +219,16 @@
 }
 
 bool should_refuse(crashing_parts const& state,
-                   std::vector<prompt_part> const& prompt, time_point at)
+                   std::vector<prompt_part> const& prompt)
 {
-    return find_culprit(state, prompt, at).has_value();
+    return find_culprit(state, prompt).has_value();
 }
 
 bool start_trial(crashing_parts& state, std::vector<prompt_part> const& prompt,
                  router_id const& self, std::vector<router_id> const& others,
                  time_point at)
 {
-    auto const part = find_culprit(state, prompt, at);
+    auto const part = find_culprit(state, prompt);
     if (!part)
         return false;
     auto const& options = state.options;
@@ -268,7 +258,7 @@
     std::map<std::uint64_t, prompt_crash> by_server;
     for (auto const& [part, crashes] : state.suspects)
     {
-        if (!may_lead_to_refusal(state, crashes))
+        if (!has_enough_crashes(state, crashes))
             continue;
         for (auto const& crash : counted_crashes(state, crashes))
             by_server[crash.server] = {.server = crash.server, .at = crash.at};
@@ -277,7 +267,7 @@
     // same for the receiver.
     for (auto const& [part, crashes] : state.suspects)
     {
-        if (!may_lead_to_refusal(state, crashes))
+        if (!has_enough_crashes(state, crashes))
             continue;
         for (auto& [server, repeated] : by_server)
         {
--- a/source/decisions/crashing_parts.hpp
+++ b/source/decisions/crashing_parts.hpp
@@ -30,9 +30,6 @@
     /// Crashes that follow each other in a shorter time count as one: a fault
     /// of the network breaks the connections to many servers at once.
     duration min_crash_interval = std::chrono::milliseconds{250};
-    /// A crash counts after this time, in which the answers that clear its
-    /// parts arrive from the other routers.
-    duration settle_time = std::chrono::milliseconds{500};
     /// Time without a crash after which one request with a refused part is
     /// tried, and after which the next one is.
     duration trial_interval = std::chrono::seconds{3};
@@ -113,9 +110,9 @@
 std::vector<part_answer> answers_since(crashing_parts const& state,
                                        prompt_crash const& crash);
 
-/// Returns whether a request with this prompt is refused at `at`.
+/// Returns whether a request with this prompt is refused.
 bool should_refuse(crashing_parts const& state,
-                   std::vector<prompt_part> const& prompt, time_point at);
+                   std::vector<prompt_part> const& prompt);
 
 /// Returns whether this router may send one request with a prompt that is
 /// refused, to find out whether its parts are sound. In each interval, one
--- a/source/decisions/peer_heartbeat.hpp
+++ b/source/decisions/peer_heartbeat.hpp
@@ -39,6 +39,19 @@
     std::uint32_t age_ms = 0; ///< When the heartbeat was sent.
 };
 
+/// Heartbeat rounds that carry a suspected request, a crash or an answer. With
+/// a datagram loss of a few percent, losing all of its heartbeats is unlikely.
+inline constexpr int rounds_per_suspect = 4;
+
+/// Crashes that wait for heartbeats; beyond that the oldest is dropped.
+inline constexpr std::size_t max_pending_crashes = 32;
+
+/// Answers in one heartbeat, 3 KiB, and those that wait for heartbeats; beyond
+/// that the oldest is dropped. In a fleet of 1,000 routers, many servers that
+/// crash together need this many.
+inline constexpr std::size_t max_answers_per_heartbeat = 256;
+inline constexpr std::size_t max_pending_answers = 1024;
+
 struct peer_heartbeat
 {
     router_id from;
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -202,7 +202,6 @@
     decisions::remove_expired_loads(state.remote_loads, now(ctx));
     probe_stalled_streams(state, now(ctx));
     probe_ejected_servers(state, now(ctx));
-    end_refused_requests(state, ctx);
     local_load_report report;
     for (auto const& [id, server] : state.servers)
     {
--- a/source/services/entry/suspects.cpp
+++ b/source/services/entry/suspects.cpp
@@ -66,7 +66,7 @@
                     time_point at)
 {
     if (decisions::should_refuse(state.crashing_parts,
-                                 request.routed.terms.prompt, at))
+                                 request.routed.terms.prompt))
         return true;
     return !state.crashes.requests.empty() &&
            decisions::should_refuse(state.crashes,
@@ -180,7 +180,7 @@
         if (!request.is_trial && request.attempt_bytes == 0 &&
             request.stage == request_stage::awaiting_answer &&
             decisions::should_refuse(state.crashing_parts,
-                                     request.routed.terms.prompt, now(ctx)))
+                                     request.routed.terms.prompt))
             refused.push_back(id);
     }
     for (auto const& id : refused)
--- a/source/services/peers/peers_service.cpp
+++ b/source/services/peers/peers_service.cpp
@@ -18,10 +18,6 @@
 
 constexpr duration tick_interval = std::chrono::seconds{1};
 
-/// Heartbeat rounds that carry a suspected request. With a datagram loss of a
-/// few percent, losing all of its heartbeats is unlikely.
-constexpr int rounds_per_suspect = 4;
-
 /// Number of known peers at which heartbeats add no more, three times the size
 /// of the largest planned fleet. It limits memory, since a sender can put any
 /// router name into its heartbeats.
@@ -192,10 +188,10 @@
 /// Adds the oldest answers to a heartbeat; the others follow in later rounds.
 void add_part_answers(peers_state& state, decisions::peer_heartbeat& heartbeat)
 {
-    constexpr std::size_t max_answers = 64;
     for (auto& pending : state.part_answers)
     {
-        if (heartbeat.part_answers.size() >= max_answers)
+        if (heartbeat.part_answers.size() >=
+            decisions::max_answers_per_heartbeat)
             break;
         heartbeat.part_answers.push_back(
             {.part = pending.answer.part,
@@ -249,18 +245,18 @@
     constexpr std::size_t max_suspects = 32;
     if (state.suspects.size() >= max_suspects)
         state.suspects.erase(state.suspects.begin());
-    state.suspects.push_back(
-        {{suspect.fingerprint, suspect.server_hash}, rounds_per_suspect});
+    state.suspects.push_back({{suspect.fingerprint, suspect.server_hash},
+                              decisions::rounds_per_suspect});
 }
 
 /// Adds a crash to the next heartbeats, as with suspected requests.
 void handle_message(peers_state& state, context&,
                     gossip_prompt_crash const& gossip)
 {
-    constexpr std::size_t max_crashes = 32;
-    if (state.prompt_crashes.size() >= max_crashes)
+    if (state.prompt_crashes.size() >= decisions::max_pending_crashes)
         state.prompt_crashes.erase(state.prompt_crashes.begin());
-    state.prompt_crashes.push_back({gossip.crash, rounds_per_suspect});
+    state.prompt_crashes.push_back(
+        {gossip.crash, decisions::rounds_per_suspect});
 }
 
 /// Adds an answer to the next heartbeats. It takes the place of an earlier one
@@ -268,19 +264,19 @@
 void handle_message(peers_state& state, context&,
                     gossip_part_answer const& gossip)
 {
-    constexpr std::size_t max_answers = 256;
     auto const same_part = [&](pending_part_answer const& pending)
     { return pending.answer.part == gossip.answer.part; };
     auto const known = std::ranges::find_if(state.part_answers, same_part);
     if (known != state.part_answers.end())
     {
         known->answer.at = std::max(known->answer.at, gossip.answer.at);
-        known->rounds_left = rounds_per_suspect;
+        known->rounds_left = decisions::rounds_per_suspect;
         return;
     }
-    if (state.part_answers.size() >= max_answers)
+    if (state.part_answers.size() >= decisions::max_pending_answers)
         state.part_answers.erase(state.part_answers.begin());
-    state.part_answers.push_back({gossip.answer, rounds_per_suspect});
+    state.part_answers.push_back(
+        {gossip.answer, decisions::rounds_per_suspect});
 }
 
 void handle_message(peers_state&, context&, drain_started) {}
