Wait without load when descriptors run out, and blame no server

Cause: a listener without a free descriptor was polled again at once while a caller waited, with a whole core; and a request or a probe that this process had no connection for counted as a failure of the server, which left servers out and could confirm crashes that were none. Change: the listener pauses for 100 ms; connecting fails with too_many_connections for wants of our own, which eject no server, and a probe says whether it was attempted.

--- a/source/http/client.cpp
+++ b/source/http/client.cpp
@@ -79,13 +79,13 @@
         fail_unsent(c, id, error_kind::invalid_request, "head can't be sent");
         return;
     }
-    auto* const s = connection_for(c, request);
-    if (!s)
+    auto const opened = connection_for(c, request);
+    if (!opened)
     {
-        fail_unsent(c, id, error_kind::server_connect_failed,
-                    "no connection can be opened");
+        fail_unsent(c, id, opened.error().kind, opened.error().detail);
         return;
     }
+    auto* const s = opened.value();
     c.serials[id] = s->serial;
     s->busy = true;
     s->credit = request.credit;
@@ -96,12 +96,15 @@
 
 void check(client& c, std::uint64_t id, endpoint const& to, duration limit)
 {
-    auto* const s = open_connection(c, to, limit);
-    if (!s)
+    auto const opened = open_connection(c, to, limit);
+    if (!opened)
     {
-        report_check(c, {.id = id});
+        report_check(c, {.id = id,
+                         .attempted = opened.error().kind !=
+                                      error_kind::too_many_connections});
         return;
     }
+    auto* const s = opened.value();
     s->checking = true;
     s->request.id = id;
 }
--- a/source/http/client.hpp
+++ b/source/http/client.hpp
@@ -81,6 +81,9 @@
 {
     std::uint64_t id = 0;
     bool reachable = false;
+    /// False if this process could open no connection, which says nothing of
+    /// the server.
+    bool attempted = true;
 };
 
 using client_event = std::variant<request_sent, response_head, response_bytes,
--- a/source/http/client_io.cpp
+++ b/source/http/client_io.cpp
@@ -285,11 +285,12 @@
                });
 }
 
-server_connection* open_connection(client& c, endpoint const& to,
-                                   duration connect_limit)
+result<server_connection*> open_connection(client& c, endpoint const& to,
+                                           duration connect_limit)
 {
     if (c.connections.size() >= c.options.max_connections)
-        return nullptr;
+        return fail(error_kind::too_many_connections,
+                    "all connections to servers are in use");
     auto owned = std::make_unique<server_connection>();
     auto* const s = owned.get();
     s->serial = ++c.last_serial;
@@ -300,15 +301,16 @@
     { return on_head(c, *s, head); };
     s->parser.on_body = [&c, s](std::string_view bytes)
     { on_body(c, *s, bytes); };
-    s->socket = net::connect(
+    auto const connected = net::connect(
         *c.loop, to,
         {.opened = [&c, s] { on_opened(c, *s); },
          .received = [&c, s](std::string_view bytes)
          { on_received(c, *s, bytes); },
          .written = [s](std::size_t) { s->active_at = net::clock_now(); },
          .ended = [&c, s](net::ending how) { on_ended(c, *s, how); }});
-    if (!s->socket)
-        return nullptr;
+    if (!connected)
+        return connected.error();
+    s->socket = connected.value();
     c.connections[s->serial] = std::move(owned);
     s->busy = true;
     s->active_at = net::clock_now();
@@ -317,7 +319,8 @@
     return s;
 }
 
-server_connection* connection_for(client& c, client_request const& request)
+result<server_connection*> connection_for(client& c,
+                                          client_request const& request)
 {
     auto const found = c.idle.find(request.to);
     if (request.may_reuse && found != c.idle.end() && !found->second.empty())
--- a/source/http/client_io.hpp
+++ b/source/http/client_io.hpp
@@ -66,11 +66,12 @@
 
 /// Takes the newest usable kept connection to the request's server, or opens
 /// one; null when none can be had.
-server_connection* connection_for(client& c, client_request const& request);
+result<server_connection*> connection_for(client& c,
+                                          client_request const& request);
 
 /// Opens a connection of its own; null when none can be had.
-server_connection* open_connection(client& c, endpoint const& to,
-                                   duration connect_limit);
+result<server_connection*> open_connection(client& c, endpoint const& to,
+                                           duration connect_limit);
 
 /// Writes the request of a connection that stands.
 void send_request(client& c, server_connection& s);
--- a/source/net/tcp.cpp
+++ b/source/net/tcp.cpp
@@ -35,6 +35,7 @@
     watched* socket = nullptr;
     std::uint16_t port = 0;
     std::function<connection_events(connection&)> accepted;
+    kernel::timer_id pause_timer = 0;
 };
 
 namespace
@@ -53,6 +54,10 @@
 
 constexpr int listen_backlog = 1024;
 
+/// Time without accepting after the descriptors ran out. The waiting callers
+/// would wake the loop at once.
+constexpr duration accept_pause = std::chrono::milliseconds{100};
+
 /// Frees the connection after the calls that may still use it have returned.
 void release(connection* conn)
 {
@@ -215,6 +220,15 @@
     conn->events = acceptor.accepted(*conn);
 }
 
+/// Leaves waiting callers in the backlog for a time.
+void pause(listener& acceptor)
+{
+    poll_input(*acceptor.socket, false);
+    acceptor.pause_timer =
+        call_after(*acceptor.event_loop, accept_pause,
+                   [&acceptor] { poll_input(*acceptor.socket, true); });
+}
+
 void on_acceptable(listener& acceptor)
 {
     constexpr int max_accepts_per_event = 32;
@@ -224,33 +238,46 @@
             ::accept4(descriptor_of(*acceptor.socket), nullptr, nullptr,
                       SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0)
+        {
+            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+                errno == ENOMEM)
+                pause(acceptor);
             return;
+        }
         accept_one(acceptor, descriptor);
     }
 }
 
 } // namespace
 
-connection* connect(loop& event_loop, endpoint const& to,
-                    connection_events events)
+result<connection*> connect(loop& event_loop, endpoint const& to,
+                            connection_events events)
 {
+    constexpr auto exhausted =
+        "no descriptor is left; raise the limit of open files";
     auto const address = to_sockaddr(to);
+    if (!address)
+        return fail(error_kind::server_connect_failed,
+                    to.address + " is not an IPv4 address");
     int const descriptor =
-        address
-            ? ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)
-            : -1;
+        ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0)
-        return nullptr;
+        return fail(error_kind::too_many_connections, exhausted);
     if (::connect(descriptor, reinterpret_cast<sockaddr const*>(&*address),
                   sizeof *address) != 0 &&
         errno != EINPROGRESS)
     {
+        // Of the kernel's reasons, only this one is a want of our own.
+        bool const is_own = errno == EADDRNOTAVAIL;
         ::close(descriptor);
-        return nullptr;
+        if (is_own)
+            return fail(error_kind::too_many_connections,
+                        "no local port is left");
+        return fail(error_kind::server_connect_failed, "refused");
     }
     auto* const conn = adopt(event_loop, descriptor);
     if (!conn)
-        return nullptr;
+        return fail(error_kind::too_many_connections, exhausted);
     conn->connecting = true;
     conn->events = std::move(events);
     await_writable(*conn->socket);
@@ -347,6 +374,7 @@
 
 void close(listener& acceptor)
 {
+    cancel(*acceptor.event_loop, acceptor.pause_timer);
     unwatch(*acceptor.socket);
     defer(*acceptor.event_loop, [&acceptor] { delete &acceptor; });
 }
--- a/source/net/tcp.hpp
+++ b/source/net/tcp.hpp
@@ -33,10 +33,11 @@
     std::function<void(ending)> ended; ///< The last event.
 };
 
-/// Starts to connect and later reports `opened` or `ended`. Returns null if no
-/// connection can be created.
-connection* connect(loop& event_loop, endpoint const& to,
-                    connection_events events);
+/// Starts to connect and later reports `opened` or `ended`. Fails with
+/// `too_many_connections` if this process can't open another descriptor, and
+/// with `server_connect_failed` if the peer refuses at once.
+result<connection*> connect(loop& event_loop, endpoint const& to,
+                            connection_events events);
 
 /// Queues bytes, which are sent by a deferred call. Writes in the same
 /// iteration of the loop are sent together.
@@ -60,7 +61,8 @@
 struct listener;
 
 /// Listens on `at`. `accepted` is called with each new connection and returns
-/// its handlers. Fails with `io_failure`.
+/// its handlers. While this process can't open another descriptor, callers wait
+/// in the backlog. Fails with `io_failure`.
 result<listener*>
 listen(loop& event_loop, endpoint const& at,
        std::function<connection_events(connection&)> accepted);
--- a/source/services/backend/backend_service.cpp
+++ b/source/services/backend/backend_service.cpp
@@ -91,7 +91,8 @@
     auto const probe = state.probes.extract(result.id);
     if (probe)
         state.send_event(server_probed{.server = probe.mapped(),
-                                       .reachable = result.reachable});
+                                       .reachable = result.reachable,
+                                       .attempted = result.attempted});
 }
 
 /// Passes an event on to its load report or attempt; ignores events of attempts
--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -237,7 +237,8 @@
     bool const is_stale =
         failed.kept_connection &&
         at - request.attempt_started_at < state.options.max_stale_close_delay;
-    if (server && !is_stale)
+    bool const is_own = failed.cause.kind == error_kind::too_many_connections;
+    if (server && !is_stale && !is_own)
     {
         record_server_failure(state, *server, at, to_name(failed.cause.kind));
         if (failed.sent && failed.cause.kind == error_kind::server_closed)
--- a/source/services/entry/silence.cpp
+++ b/source/services/entry/silence.cpp
@@ -135,10 +135,17 @@
     server.probe_in_flight = false;
     auto const at = now(ctx);
     log(state.telemetry_sink, log_severity::info, "server_probed",
-        fmt::format("server={} reachable={} own={} heard_ms_ago={}",
-                    probed.server.value, probed.reachable,
+        fmt::format("server={} attempted={} reachable={} own={} "
+                    "heard_ms_ago={}",
+                    probed.server.value, probed.attempted, probed.reachable,
                     server.local_in_flight,
                     to_ms(at - server.last_response_at)));
+    if (!probed.attempted)
+    {
+        server.next_probe_at =
+            std::max(server.next_probe_at, at + state.options.probe_timeout);
+        return;
+    }
     if (probed.reachable)
     {
         server.last_response_at = at;
--- a/source/services/messages/owner.hpp
+++ b/source/services/messages/owner.hpp
@@ -127,6 +127,9 @@
 {
     server_id server;
     bool reachable = false;
+    /// False if this instance could open no connection, which says nothing of
+    /// the server.
+    bool attempted = true;
 };
 
 /// Progress of dispatched attempts, and results of probes.
--- a/tests/unit/services/entry/crash_test.cpp
+++ b/tests/unit/services/entry/crash_test.cpp
@@ -166,6 +166,24 @@
     BOOST_TEST(received<gossip_suspect>(*peers).empty());
 }
 
+// Guards against crashes that are made of this instance's own want of
+// descriptors.
+BOOST_AUTO_TEST_CASE(probe_that_was_not_attempted_confirms_no_crash)
+{
+    submit(non_idempotent, 1,
+           {.streaming = true, .prompt = {{6, 300}, {7, 20}}});
+    fail_last_attempt(true);
+    auto const server = backend->sent.back().server;
+    deliver(server_probed{.server = server, .attempted = false});
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).empty());
+    // The server is probed again until one probe is attempted.
+    auto const probes = backend->probed.size();
+    test_kernel.advance(10s);
+    BOOST_REQUIRE(backend->probed.size() > probes);
+    deliver(server_probed{.server = server, .reachable = false});
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(server_that_has_started_again_has_crashed)
 {
     submit(non_idempotent, 1,
--- a/tests/unit/services/entry/servers_test.cpp
+++ b/tests/unit/services/entry/servers_test.cpp
@@ -46,6 +46,24 @@
     }
 }
 
+// Guards against an instance that leaves out all servers while it has no
+// descriptor for a connection.
+BOOST_AUTO_TEST_CASE(attempt_without_a_connection_of_our_own_ejects_no_server)
+{
+    submit(non_idempotent, 2);
+    auto const id = backend->sent.back().attempt;
+    auto const server = backend->sent.back().server;
+    deliver(backend_failed{.attempt = id,
+                           .cause = {error_kind::too_many_connections, "full"},
+                           .sent = false});
+    BOOST_REQUIRE(backend->sent.size() == 2U);
+    BOOST_TEST((backend->sent.back().server != server));
+    answer_last_attempt(200, "ok");
+    // Servers that were left out are probed.
+    test_kernel.advance(5s);
+    BOOST_TEST(backend->probed.empty());
+}
+
 BOOST_AUTO_TEST_CASE(busy_server_is_not_probed)
 {
     deployment.servers.erase({"s2"});
