Keep the passed lint of files with coroutines as well

Change: a verdict is kept for the contents of the file and of all that it includes, as the compiler lists them. A changed header is linted again.

--- a/tools/lint.py
+++ b/tools/lint.py
@@ -1,12 +1,13 @@
 #!/usr/bin/env python3
 """Runs clang-tidy over all sources, or over the files named.
 
-A file is skipped if it passed before with the same text after preprocessing,
-the same flags, checks and version of clang-tidy: its verdict can't differ. Only
-passes are kept, under the user's cache folder.
+A file is skipped if it passed before with the same text in it and in all files
+that it includes, the same flags, checks and version of clang-tidy: its verdict
+can't differ. Only passes are kept, under the user's cache folder.
 """
 
 import concurrent.futures
+import functools
 import hashlib
 import json
 import os
@@ -35,40 +36,56 @@
     return [name for name in listed.stdout.split() if (ROOT / name).exists()]
 
 
-def compile_flags(build):
-    """Flags of each source file, by its absolute path."""
+def compile_commands(build):
+    """Compiler and flags of each source file, by its absolute path."""
     commands = json.loads((build / "compile_commands.json").read_text())
-    flags = {}
+    found = {}
     for entry in commands:
         kept = []
-        words = iter(shlex.split(entry["command"])[1:])
+        words = iter(shlex.split(entry["command"]))
+        compiler = next(words)
         for word in words:
             if word == "-o":
                 next(words)
             elif word not in ("-c", entry["file"]):
                 kept.append(word)
-        flags[entry["file"]] = kept
-    return flags
+        found[entry["file"]] = compiler, kept
+    return found
 
 
-def fingerprint(path, flags, common):
+@functools.cache
+def content_hash(path):
+    return hashlib.sha256(pathlib.Path(path).read_bytes()).digest()
+
+
+def included_files(path, compiler, flags, build):
+    """The file and all that it includes, or None if that can't be had."""
+    rule = run([compiler, *flags, "-M", str(path)], cwd=build, text=True)
+    if rule.returncode != 0:
+        return None
+    names = rule.stdout.replace("\\\n", " ").split()[1:]
+    return sorted({os.path.realpath(build / name) for name in names})
+
+
+def fingerprint(path, compiler, flags, common, build):
     """Hash of all that the verdict depends on, or None if it can't be had."""
-    text = run(
-        ["clang++", *flags, *COROUTINES, "-w", "-Wno-error", "-E", "-CC", str(path)],
-        cwd=ROOT,
-    )
-    if text.returncode != 0:
+    names = included_files(path, compiler, flags, build)
+    if names is None:
         return None
-    root = str(ROOT).encode()
+    root = str(ROOT)
     digest = hashlib.sha256(common)
-    digest.update(" ".join(flags).encode().replace(root, b"."))
-    digest.update(text.stdout.replace(root, b"."))
+    digest.update(" ".join(flags).replace(root, ".").encode())
+    for name in names:
+        digest.update(name.replace(root, ".").encode())
+        digest.update(content_hash(name))
     return digest.hexdigest()
 
 
-def lint(name, build, flags, common, cache):
+def lint(name, build, commands, common, cache):
     path = ROOT / name
-    known = fingerprint(path, flags.get(str(path), []), common)
+    known = None
+    if str(path) in commands:
+        known = fingerprint(path, *commands[str(path)], common, build)
     if known and (cache / known).exists():
         return True, "", True
     extra = [f"--extra-arg={flag}" for flag in COROUTINES]
@@ -93,10 +110,10 @@
     cache.mkdir(parents=True, exist_ok=True)
     version = run(["clang-tidy", "--version"]).stdout
     common = version + (ROOT / ".clang-tidy").read_bytes()
-    flags = compile_flags(build)
+    commands = compile_commands(build)
     failed = skipped = 0
     with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
-        jobs = [pool.submit(lint, name, build, flags, common, cache) for name in names]
+        jobs = [pool.submit(lint, name, build, commands, common, cache) for name in names]
         for job in concurrent.futures.as_completed(jobs):
             passed, output, was_known = job.result()
             failed += not passed
