Accept heartbeats of fleets of 1,000 routers while servers crash

Cause: with up to 256 answers, a heartbeat with the loads of 1,000 servers, all suspects and crashes has 18.1 kB, and receivers took 16 KiB: it was dropped with its loads. At 680 servers it has 14.3 kB. Change: receivers take any datagram, 64 KiB. Measured: fullest_heartbeats_are_accepted, with 2,125 servers, fails without the change.

--- a/source/wire/peer_heartbeats.cpp
+++ b/source/wire/peer_heartbeats.cpp
@@ -49,7 +49,8 @@
 /// First bytes of a heartbeat; the last one is the version of the encoding.
 constexpr std::string_view peer_heartbeat_magic{"brP\x04"};
 
-constexpr std::size_t max_peer_heartbeat_bytes = 16U << 10;
+/// No datagram is larger.
+constexpr std::size_t max_peer_heartbeat_bytes = 64U << 10;
 
 } // namespace
 
--- a/tests/unit/services/peers/peers_service_test.cpp
+++ b/tests/unit/services/peers/peers_service_test.cpp
@@ -214,6 +214,49 @@
     BOOST_TEST(reported.size() == crashes);
 }
 
+// Guards against the same for all that a heartbeat may have while many servers
+// crash, in a fleet of 1,000 routers.
+BOOST_AUTO_TEST_CASE(fullest_heartbeats_are_accepted)
+{
+    constexpr std::uint64_t servers = 2125;
+    constexpr std::uint64_t suspects = 32;
+    constexpr std::uint64_t crashes = 32;
+    constexpr std::uint64_t answers = 1024;
+    send_heartbeat(
+        {.from = {"r2"}, .domain = {"a"}, .started = 5, .sequence = 1});
+    run_until([this] { return fleet_size() == 2; });
+    for (std::uint64_t n = 1; n <= suspects; ++n)
+        send(peers, gossip_suspect{n, n});
+    for (std::uint64_t n = 1; n <= crashes; ++n)
+        send(peers, gossip_prompt_crash{{.server = n,
+                                         .at = now(test_kernel.clock()),
+                                         .parts = {1, 2, 3, 4, 5, 6, 7, 8}}});
+    for (std::uint64_t n = 1; n <= answers; ++n)
+        send(peers, gossip_part_answer{{n, now(test_kernel.clock())}});
+    local_load_report report;
+    for (std::uint64_t n = 1; n <= servers; ++n)
+        report.local.push_back({n, 1});
+    constexpr std::size_t rounds = 20;
+    for (std::size_t round = 1; round <= rounds; ++round)
+    {
+        send(peers, local_load_report{report});
+        run_until([&] { return received_heartbeats.size() == round; });
+    }
+    auto const& fullest = received_heartbeats.front();
+    BOOST_TEST(fullest.loads.size() == servers);
+    BOOST_TEST(fullest.suspects.size() == suspects);
+    BOOST_TEST(fullest.prompt_crashes.size() == crashes);
+    BOOST_TEST(fullest.part_answers.size() ==
+               decisions::max_answers_per_heartbeat);
+    std::set<std::uint64_t> reported;
+    for (auto const& heartbeat : received_heartbeats)
+    {
+        for (auto const& answer : heartbeat.part_answers)
+            reported.insert(answer.part);
+    }
+    BOOST_TEST(reported.size() == answers);
+}
+
 BOOST_AUTO_TEST_CASE(own_heartbeats_are_ignored)
 {
     send_heartbeat({.from = {"r1"}, .started = 5, .sequence = 1});
