End a stop at its limit

Cause: the limit was looked at every 200 ms, so that a process could use up half of what is kept back for its end. Change: a timer ends the stop at the limit. Measured: stop_ends_exactly_at_its_limit fails without the change, 100 and 199 ms after a tick.

--- a/source/services/lifecycle/lifecycle_service.cpp
+++ b/source/services/lifecycle/lifecycle_service.cpp
@@ -72,11 +72,6 @@
 
 void go_on_stopping(lifecycle_state& state, time_point at)
 {
-    if (at >= answers_end(state) + state.options.answer_margin)
-    {
-        end(state, "limit_reached");
-        return;
-    }
     if (at - *state.stopping < state.options.leave_time)
         return;
     if (state.refusing && state.callers_idle)
@@ -105,6 +100,14 @@
     send(state.front, leaving_started{});
     send(state.routing, drain_started{.end_by = answers_end(state)});
     send(state.store, drain_started{});
+    schedule(ctx, answers_end(state) + state.options.answer_margin - now(ctx),
+             stop_limit_reached{});
+}
+
+void receive_one(lifecycle_state& state, context&, stop_limit_reached)
+{
+    if (!*state.options.ended)
+        end(state, "limit_reached");
 }
 
 void receive_one(lifecycle_state& state, context&, reload_requested)
--- a/source/services/messages/lifecycle.hpp
+++ b/source/services/messages/lifecycle.hpp
@@ -31,7 +31,13 @@
 {
 };
 
+/// Delivered when a stop has lasted as long as it may.
+struct stop_limit_reached
+{
+};
+
 using lifecycle_message =
-    std::variant<stop_requested, reload_requested, idle_reply, lifecycle_tick>;
+    std::variant<stop_requested, reload_requested, idle_reply, lifecycle_tick,
+                 stop_limit_reached>;
 
 } // namespace bramleyarch::services
--- a/tests/unit/services/lifecycle/lifecycle_test.cpp
+++ b/tests/unit/services/lifecycle/lifecycle_test.cpp
@@ -112,4 +112,21 @@
     BOOST_TEST(*ended);
 }
 
+// Guards against a process that uses up the time which is kept back for its
+// end.
+BOOST_AUTO_TEST_CASE(stop_ends_exactly_at_its_limit)
+{
+    for (duration const before : {0ms, 100ms, 199ms})
+    {
+        fixture other;
+        *other.busy = true;
+        other.test_kernel.advance(before);
+        other.start_stop();
+        other.test_kernel.advance(7599ms);
+        BOOST_TEST(!*other.ended);
+        other.test_kernel.advance(1ms);
+        BOOST_TEST(*other.ended);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
