--- a/tests/unit/decisions/crashing_parts_fleet_test.cpp
+++ b/tests/unit/decisions/crashing_parts_fleet_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
 #include <random>
 
 using namespace bramleyarch;
@@ -20,7 +21,8 @@
 constexpr std::size_t targets_per_round = 16; // As in the peers service.
 constexpr std::uint64_t system_part = 1;
 constexpr std::uint64_t hot_part = 2;
-constexpr std::uint64_t deadly_part = 3;
+// Each part from here up to the first document may be deadly.
+constexpr std::uint64_t first_deadly_part = 3;
 constexpr std::uint64_t first_document = 100;
 constexpr std::uint64_t documents = 300;
 constexpr double hot_share = 0.16;
@@ -93,10 +95,12 @@
     std::uint64_t last_server = 0;
     double crash_share = 0; ///< Of attempts, of other causes than their prompt.
     bool is_deadly = false;
+    std::uint64_t deadly_parts = 1;
+    std::size_t deadly_place = 1; ///< Index in the prompt, up to 2.
     bool answers_travel = true;
     counts sound;
     counts deadly;
-    std::vector<time_point> deadly_sent_at;
+    std::map<std::uint64_t, std::vector<time_point>> deadly_sent_at;
 
     double draw()
     {
@@ -107,7 +111,7 @@
     {
         auto const kind = draw();
         if (kind < deadly_share)
-            return deadly_part;
+            return first_deadly_part + random() % deadly_parts;
         return kind < deadly_share + hot_share
                    ? hot_part
                    : first_document + random() % documents;
@@ -123,12 +127,30 @@
             at_router.crashes.push_back({crash});
     }
 
+    /// Returns a prompt with the part: after the system part all share, or in
+    /// the place of deadly parts.
+    std::vector<prompt_part> prompt_with(std::uint64_t part)
+    {
+        std::vector<prompt_part> prompt{{system_part, 600}};
+        if (part < first_document && part >= first_deadly_part &&
+            deadly_place != 1)
+            prompt.push_back({first_document + random() % documents, 900});
+        else
+            prompt.push_back({part, 900});
+        if (prompt.back().id != part)
+            prompt.insert(prompt.begin() +
+                              static_cast<std::ptrdiff_t>(deadly_place),
+                          {part, 300});
+        prompt.push_back({999, 9});
+        return prompt;
+    }
+
     void handle_request(std::size_t index, std::uint64_t part)
     {
         auto& receiver = routers[index];
-        std::vector<prompt_part> const prompt{
-            {system_part, 600}, {part, 900}, {999, 9}};
-        bool const crashes = part == deadly_part && is_deadly;
+        auto const prompt = prompt_with(part);
+        bool const crashes =
+            is_deadly && part >= first_deadly_part && part < first_document;
         auto& counted = crashes ? deadly : sound;
         if (should_refuse(receiver.state, prompt))
         {
@@ -142,7 +164,7 @@
         }
         ++counted.sent;
         if (crashes)
-            deadly_sent_at.push_back(at);
+            deadly_sent_at[part].push_back(at);
         if (crashes || draw() < crash_share)
         {
             report_crash(receiver, prompt);
@@ -207,6 +229,29 @@
     }
 };
 
+/// Plays a time in which deadly parts crash servers.
+void check_deadly_parts_are_stopped(fleet& routers, double deadly_share)
+{
+    auto const size = routers.routers.size();
+    routers.is_deadly = true;
+    routers.crash_share = 0.01;
+    routers.run(20s, deadly_share);
+    BOOST_REQUIRE(routers.deadly_sent_at.size() == routers.deadly_parts);
+    for (auto const& [part, sent_at] : routers.deadly_sent_at)
+    {
+        // After the third crash, the rule leaves this time to tell all.
+        BOOST_REQUIRE(sent_at.size() >= 3U);
+        auto const limit = sent_at[2] + 3s;
+        auto const late = std::ranges::count_if(
+            sent_at, [limit](time_point sent) { return sent > limit; });
+        BOOST_TEST(late <= 3, size << " routers: " << late);
+    }
+    BOOST_TEST(routers.deadly.refused > 0U);
+    BOOST_TEST(routers.sound.refused <= routers.sound.sent / 1000,
+               size << " routers: " << routers.sound.refused << " of "
+                    << routers.sound.sent);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(fleets_with_crashing_servers)
@@ -259,20 +304,25 @@
             fleet routers{size};
             if (was_sound)
                 routers.run(5s, deadly_share);
-            routers.is_deadly = true;
-            routers.crash_share = 0.01;
-            routers.run(20s, deadly_share);
-            // After the third crash, the rule leaves this time to tell all.
-            BOOST_REQUIRE(routers.deadly_sent_at.size() >= 3U);
-            auto const limit = routers.deadly_sent_at[2] + 3s;
-            auto const late = std::ranges::count_if(routers.deadly_sent_at,
-                                                    [limit](time_point sent)
-                                                    { return sent > limit; });
-            BOOST_TEST(late <= 3, size << " routers: " << late);
-            BOOST_TEST(routers.deadly.refused > 0U);
-            BOOST_TEST(routers.sound.refused <= routers.sound.sent / 1000,
-                       size << " routers: " << routers.sound.refused << " of "
-                            << routers.sound.sent);
+            check_deadly_parts_are_stopped(routers, deadly_share);
+        }
+    }
+}
+
+// Pattern: the same with the part in the first and the third place, and with
+// two such parts at once.
+BOOST_AUTO_TEST_CASE(deadly_parts_are_stopped_in_each_place_and_two_at_once)
+{
+    for (std::size_t const size : {8, 80, 300})
+    {
+        for (std::size_t const place : {0, 1, 2})
+        {
+            fleet routers{size};
+            routers.deadly_place = place;
+            routers.deadly_parts = place == 1 ? 2 : 1;
+            check_deadly_parts_are_stopped(
+                routers, static_cast<double>(routers.deadly_parts) /
+                             static_cast<double>(size));
         }
     }
 }
