--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -237,8 +237,9 @@
     bool const is_stale =
         failed.kept_connection &&
         at - request.attempt_started_at < state.options.max_stale_close_delay;
-    bool const is_own = failed.cause.kind == error_kind::too_many_connections;
-    if (server && !is_stale && !is_own)
+    bool const had_no_connection =
+        failed.cause.kind == error_kind::too_many_connections;
+    if (server && !is_stale && !had_no_connection)
     {
         record_server_failure(state, *server, at, to_name(failed.cause.kind));
         if (failed.sent && failed.cause.kind == error_kind::server_closed)
