--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -649,6 +649,9 @@
 
     async def run():
         fleet = Fleet(record)
+        # A script that is ended early ends its routers too.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await fleet.store.start()
             return await asyncio.wait_for(case(fleet), 110)
@@ -658,7 +661,8 @@
 
     try:
         result = asyncio.run(run())
-    except (CouldNotRun, asyncio.TimeoutError, OSError) as error:
+    except (CouldNotRun, asyncio.TimeoutError, asyncio.CancelledError,
+            OSError) as error:
         record.say(f"could not run: {error!r}")
         result = COULD_NOT_RUN
     record.say({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN",
