Estimate answers in a planned stop by their stated tokens

Cause: the time that an answer may take came from the longest answer of its route in the last minute. The streams before were shorter, and the tokens that the request states were not read.

Change: the estimate is the slowest first byte and the slowest time per stated token, times the tokens stated. A request whose deadline comes before the end is always taken, as the stop can't cut it. request_answered logs the stated tokens and the time of the first byte.

With the tokens left out, stream_longer_than_those_before_is_refused_late_in_a_stop fails (the stream is sent); without the bound by the deadline, request_whose_deadline_is_before_the_end_is_taken fails. All pass now.

--- a/source/decisions/answer_times.cpp
+++ b/source/decisions/answer_times.cpp
@@ -5,8 +5,31 @@
 namespace bramleyarch::decisions
 {
 
+namespace
+{
+
+longest_times longest_of(longest_times const& a, longest_times const& b)
+{
+    return {.whole = std::max(a.whole, b.whole),
+            .first_byte = std::max(a.first_byte, b.first_byte),
+            .per_token = std::max(a.per_token, b.per_token)};
+}
+
+longest_times times_of(answer_sample const& sample)
+{
+    longest_times times{.whole = sample.took};
+    if (sample.max_tokens == 0)
+        return times;
+    times.first_byte = sample.first_byte;
+    times.per_token = sample.took - sample.first_byte;
+    times.per_token /= sample.max_tokens;
+    return times;
+}
+
+} // namespace
+
 void record_answer_time(answer_times& times, std::string const& route,
-                        duration took, time_point at)
+                        answer_sample const& sample, time_point at)
 {
     auto const period = times.options.period;
     auto found = times.by_route.find(route);
@@ -29,11 +52,12 @@
         recorded.longest = {};
         recorded.period_start = at;
     }
-    recorded.longest = std::max(recorded.longest, took);
+    recorded.longest = longest_of(recorded.longest, times_of(sample));
 }
 
 std::optional<duration> expected_answer_time(answer_times const& times,
                                              std::string const& route,
+                                             std::uint32_t max_tokens,
                                              time_point at)
 {
     auto const found = times.by_route.find(route);
@@ -41,10 +65,12 @@
         at - found->second.period_start >= 2 * times.options.period)
         return std::nullopt;
     auto const& recorded = found->second;
-    std::chrono::duration<double, duration::period> const longest{
-        std::max(recorded.longest, recorded.longest_before.value_or(duration{}))
-            .count()};
-    return std::chrono::duration_cast<duration>(longest *
+    auto const longest = longest_of(
+        recorded.longest, recorded.longest_before.value_or(longest_times{}));
+    std::chrono::duration<double, duration::period> expected = longest.whole;
+    if (max_tokens > 0 && longest.per_token.count() > 0)
+        expected = longest.first_byte + longest.per_token * max_tokens;
+    return std::chrono::duration_cast<duration>(expected *
                                                 times.options.safety_factor) +
            times.options.margin;
 }
--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -34,8 +34,9 @@
     if (request.routed.terms.resumable)
         std::erase_if(head.headers, [](header_field const& field)
                       { return field.name == "content-length"; });
+    request.first_byte_at = now(ctx);
     sample(state.telemetry_sink, latency_kind::first_byte,
-           now(ctx) - request.routed.terms.received);
+           request.first_byte_at - request.routed.terms.received);
     request.reply(answer_head{.attempt = answer_id(request),
                               .status = head.status,
                               .headers = std::move(head.headers),
--- a/source/services/entry/endings.cpp
+++ b/source/services/entry/endings.cpp
@@ -51,20 +51,26 @@
                       entry_request& request)
 {
     auto const at = now(ctx);
+    auto const& terms = request.routed.terms;
     count(state.telemetry_sink, counter::requests_answered);
     sample(state.telemetry_sink, latency_kind::whole_answer,
-           at - request.routed.terms.received);
+           at - terms.received);
     log(state.telemetry_sink, log_severity::info, "request_answered",
         fmt::format("request={} server={} attempts={} chunks={} bytes={} "
-                    "took_ms={} outcome=answered",
+                    "max_tokens={} first_byte_ms={} took_ms={} "
+                    "outcome=answered",
                     to_text(request.routed.id), request.current_server.value,
                     request.sent_attempts, request.forwarded_chunks,
-                    request.forwarded_bytes,
-                    to_ms(at - request.routed.terms.received)));
+                    request.forwarded_bytes, terms.answer_tokens,
+                    to_ms(request.first_byte_at - terms.received),
+                    to_ms(at - terms.received)));
     if (is_success(request.attempt_status))
-        decisions::record_answer_time(state.answer_times,
-                                      request.routed.terms.route,
-                                      at - request.routed.terms.received, at);
+        decisions::record_answer_time(
+            state.answer_times, terms.route,
+            {.took = at - terms.received,
+             .first_byte = request.first_byte_at - terms.received,
+             .max_tokens = terms.answer_tokens},
+            at);
     clear_crash_suspect(state, request);
     if (request.attempt_bytes < state.options.min_proof_bytes)
         record_proof(state, request, at);
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -145,6 +145,7 @@
     std::optional<backend_head> buffered_head;
     std::string buffered_body; ///< Body bytes that follow `buffered_head`.
     decisions::event_cursor cursor;
+    time_point first_byte_at{}; ///< Set once the head is forwarded.
     /// Status and media type of the head that was forwarded.
     int forwarded_status = 0;
     std::string forwarded_type;
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -305,18 +305,22 @@
         request_check_due{request.routed.id});
 }
 
-/// Returns whether an attempt that is sent now will be answered before this
-/// instance stops. A stream that goes on elsewhere is tried in any case, since
-/// it would be cut off otherwise.
+/// Returns whether an attempt that is sent now will have ended before this
+/// instance stops: with an answer, or at the request's own deadline. A stream
+/// that goes on elsewhere is tried in any case, since it would be cut off
+/// otherwise.
 bool ends_before_stop(entry_state const& state, entry_request const& request,
                       time_point at)
 {
     if (!state.end_by || request.stage == request_stage::forwarding_answer)
         return true;
-    auto const expected = decisions::expected_answer_time(
-        state.answer_times, request.routed.terms.route, at);
-    return at + expected.value_or(request.routed.deadline - at) <=
-           *state.end_by;
+    auto const& terms = request.routed.terms;
+    auto const until_deadline = request.routed.deadline - at;
+    auto const expected =
+        decisions::expected_answer_time(state.answer_times, terms.route,
+                                        terms.answer_tokens, at)
+            .value_or(until_deadline);
+    return at + std::min(expected, until_deadline) <= *state.end_by;
 }
 
 } // namespace
--- a/tests/unit/services/entry/stop_test.cpp
+++ b/tests/unit/services/entry/stop_test.cpp
@@ -139,6 +139,61 @@
     BOOST_TEST(taken[4] == 0U);
 }
 
+// Guards against a stream that is taken late in the grace because the ones
+// before it were shorter, passed on, and cut at the end of the stop.
+BOOST_AUTO_TEST_CASE(stream_longer_than_those_before_is_refused_late_in_a_stop)
+{
+    constexpr std::uint32_t usual_tokens = 240;
+    constexpr std::uint32_t many_tokens = 672;
+    constexpr std::uint32_t few_tokens = 24;
+    auto const submit_stream = [this](std::uint32_t tokens)
+    {
+        auto const sent = backend->sent.size();
+        time_limit = 10s;
+        submit(non_idempotent, 1,
+               {.route = "chat", .streaming = true, .answer_tokens = tokens});
+        return backend->sent.size() > sent;
+    };
+    // The first byte after 100 ms, then 5 ms a token.
+    auto const answer_stream = [this](std::uint32_t tokens)
+    {
+        auto const id = backend->sent.back().attempt;
+        deliver(backend_send_started{id});
+        test_kernel.advance(100ms);
+        deliver(backend_head{id, 200, {}});
+        deliver(backend_chunk{id, "data: a\n\n"});
+        test_kernel.advance(tokens * 5ms);
+        deliver(backend_chunk{id, "data: b\n\n"});
+        deliver(backend_end{id});
+        BOOST_TEST(last_caller().ended);
+    };
+    BOOST_TEST(submit_stream(usual_tokens));
+    answer_stream(usual_tokens);
+    start_stop();
+    test_kernel.advance(3400ms);
+    BOOST_TEST(!submit_stream(many_tokens));
+    BOOST_REQUIRE(last_caller().error);
+    BOOST_TEST((last_caller().error->known == outcome::not_run));
+    BOOST_TEST((last_caller().error->cause.kind == error_kind::draining));
+    // Those that end in time are still answered.
+    BOOST_TEST(submit_stream(usual_tokens));
+    answer_stream(usual_tokens);
+    test_kernel.advance(1800ms);
+    BOOST_TEST(!submit_stream(usual_tokens));
+    BOOST_TEST(submit_stream(few_tokens));
+    answer_stream(few_tokens);
+}
+
+// Guards against a refusal of what can't be cut: its deadline comes first.
+BOOST_AUTO_TEST_CASE(request_whose_deadline_is_before_the_end_is_taken)
+{
+    start_stop(5s);
+    time_limit = 4s;
+    auto const sent = backend->sent.size();
+    submit(non_idempotent, 1, {.route = "report"});
+    BOOST_TEST(backend->sent.size() == sent + 1);
+}
+
 // A request that takes longer than others gets an answer before the end, and
 // its server stops.
 BOOST_AUTO_TEST_CASE(request_in_flight_at_the_end_of_a_stop_is_answered)
