Repeat the crashes of refused requests

Cause: routers told each other of a crash in four rounds of heartbeats, only while it was new. A router that started later, or was cut off, never heard of it.

An answer clears a request at all routers, so that a false refusal of one does not spread. The encoding of heartbeats has a new version.

With the repetition switched off crashes_of_a_refused_request_are_repeated fails; with crashes counted although an answer came after them crashes_before_an_answer_do_not_count fails. All pass now. The owner's quarantine has the same cause by reading; listed as open.

--- a/source/decisions/peer_heartbeat.hpp
+++ b/source/decisions/peer_heartbeat.hpp
@@ -16,15 +16,24 @@
     std::uint32_t in_flight = 0;
 };
 
-/// A request body that was in flight when a backend server died.
-struct suspect_body
+/// A backend server that crashed with a request in flight, as in
+/// `request_crash`, with its age instead of its time: routers' clocks differ.
+struct aged_request_crash
 {
-    std::uint64_t fingerprint = 0;
-    std::uint64_t server = 0; ///< `name_hash` of the server's id.
+    std::uint64_t request = 0;
+    std::uint64_t server = 0;
+    std::uint32_t age_ms = 0; ///< When the heartbeat was sent.
+};
+
+/// An answer that clears a request, as in `request_answer`, with its age.
+struct aged_request_answer
+{
+    std::uint64_t request = 0;
+    std::uint32_t age_ms = 0; ///< When the heartbeat was sent.
 };
 
 /// A backend server that crashed before it answered a request, as in
-/// `prompt_crash`, with its age instead of its time: routers' clocks differ.
+/// `prompt_crash`, with its age.
 struct aged_prompt_crash
 {
     std::uint64_t server = 0;
@@ -39,8 +48,8 @@
     std::uint32_t age_ms = 0; ///< When the heartbeat was sent.
 };
 
-/// Heartbeat rounds that carry a suspected request, a crash or an answer. With
-/// a datagram loss of a few percent, losing all of its heartbeats is unlikely.
+/// Heartbeat rounds that carry a crash or an answer. With a datagram loss of a
+/// few percent, losing all of its heartbeats is unlikely.
 inline constexpr int rounds_per_suspect = 4;
 
 /// Crashes that wait for heartbeats; beyond that the oldest is dropped.
@@ -65,7 +74,8 @@
     /// Requests of the sender. In a heartbeat to another failure domain:
     /// requests of all routers of the sender's domain.
     std::vector<server_request_count> loads;
-    std::vector<suspect_body> suspects;
+    std::vector<aged_request_crash> request_crashes;
+    std::vector<aged_request_answer> request_answers;
     std::vector<aged_prompt_crash> prompt_crashes;
     std::vector<aged_part_answer> part_answers;
 };
--- a/source/services/entry/endings.cpp
+++ b/source/services/entry/endings.cpp
@@ -71,7 +71,7 @@
              .first_byte = request.first_byte_at - terms.received,
              .max_tokens = terms.answer_tokens},
             at);
-    clear_crash_suspect(state, request);
+    clear_crash_suspect(state, request, at);
     if (request.attempt_bytes < state.options.min_proof_bytes)
         record_proof(state, request, at);
     request.reply(answer_end{.attempt = answer_id(request),
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -147,8 +147,10 @@
 /// prompt, unless their answer has begun.
 void end_refused_requests(entry_state& state, entry_context& ctx);
 
-/// Clears the suspicion of a request that completed.
-void clear_crash_suspect(entry_state& state, entry_request const& request);
+/// Clears the suspicion of a request that completed, and reports this to
+/// routers that may suspect it.
+void clear_crash_suspect(entry_state& state, entry_request const& request,
+                         time_point at);
 
 /// Retries the request at another server after a failed attempt, or fails it
 /// with `cause` if it must not or cannot be retried. `request` may have been
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -123,19 +123,31 @@
                                message.heartbeat, now(ctx));
 }
 
-/// Forwards a suspect that was not known yet, so that it also reaches routers
-/// that do not receive the sender's heartbeats.
-void handle(entry_state& state, entry_context& ctx,
-            peer_suspect_received const& suspect)
+/// Forwards a crash that was not known yet, so that it also reaches routers
+/// that do not receive the sender's heartbeats. An answer since then goes to
+/// the other routers instead.
+void handle(entry_state& state, entry_context&,
+            peer_request_crash_received const& received)
 {
-    if (decisions::record_crash(state.crashes, suspect.fingerprint,
-                                suspect.server_hash, now(ctx)))
+    auto const& crash = received.crash;
+    if (decisions::is_answered_since(state.crashes, crash))
         send(state.peers_service,
-             gossip_suspect{suspect.fingerprint, suspect.server_hash});
+             gossip_request_answer{
+                 {crash.request, state.crashes.answered_at.at(crash.request)}});
+    else if (decisions::record_crash(state.crashes, crash))
+        send(state.peers_service, gossip_request_crash{crash});
 }
 
-/// Forwards a crash that was not known yet, as with suspects. Answers that
-/// clear its parts go to the other routers instead.
+/// Forwards an answer that cleared a request, as with crashes.
+void handle(entry_state& state, entry_context&,
+            peer_request_answer_received const& received)
+{
+    if (decisions::record_answer(state.crashes, received.answer))
+        send(state.peers_service, gossip_request_answer{received.answer});
+}
+
+/// Forwards a crash that was not known yet, as with those of requests. Answers
+/// that clear its parts go to the other routers instead.
 void handle(entry_state& state, entry_context& ctx,
             peer_prompt_crash_received const& received)
 {
@@ -148,7 +160,7 @@
     end_refused_requests(state, ctx);
 }
 
-/// Forwards an answer that cleared a part, as with suspects.
+/// Forwards an answer that cleared a part, as with crashes.
 void handle(entry_state& state, entry_context&,
             peer_part_answer_received const& received)
 {
@@ -220,6 +232,10 @@
     decisions::remove_expired_crashes(state.crashes, now(ctx));
     decisions::remove_expired(state.crashing_parts, now(ctx));
     decisions::remove_expired(state.announcements, now(ctx));
+    for (auto const& crash :
+         decisions::crashes_to_repeat(state.crashes, now(ctx)))
+        send(state.peers_service,
+             gossip_request_crash{.crash = crash, .is_repeat = true});
     for (auto& crash : decisions::crashes_to_repeat(state.crashing_parts))
         send(state.peers_service, gossip_prompt_crash{std::move(crash)});
     flush(state.telemetry_sink);
--- a/source/services/entry/suspects.cpp
+++ b/source/services/entry/suspects.cpp
@@ -13,19 +13,20 @@
 namespace
 {
 
-void record_crash_suspect(entry_state& state, possible_crash const& crash,
-                          time_point at)
+void record_crash_suspect(entry_state& state, possible_crash const& possible)
 {
-    if (!decisions::record_crash(state.crashes, crash.fingerprint, crash.run,
-                                 at))
+    decisions::request_crash const crash{.request = possible.fingerprint,
+                                         .server = possible.run,
+                                         .at = possible.at};
+    if (!decisions::record_crash(state.crashes, crash))
         return;
     count(state.telemetry_sink, counter::suspects_recorded);
-    send(state.peers_service, gossip_suspect{crash.fingerprint, crash.run});
+    send(state.peers_service, gossip_request_crash{crash});
     log(state.telemetry_sink, log_severity::info, "request_suspected",
-        fmt::format(
-            "request={} fingerprint={:016x} server={} crashes={}",
-            to_text(crash.request), crash.fingerprint, crash.server.value,
-            state.crashes.requests.at(crash.fingerprint).servers.size()));
+        fmt::format("request={} fingerprint={:016x} server={} crashes={}",
+                    to_text(possible.request), crash.request,
+                    possible.server.value,
+                    state.crashes.requests.at(crash.request).crashes.size()));
 }
 
 void record_prompt_suspect(entry_state& state, possible_crash const& possible)
@@ -115,7 +116,7 @@
     {
         if (!is_of_server(crash))
             continue;
-        record_crash_suspect(state, crash, now(ctx));
+        record_crash_suspect(state, crash);
         record_prompt_suspect(state, crash);
     }
     std::erase_if(state.possible_crashes, is_of_server);
@@ -152,11 +153,15 @@
         send(state.peers_service, gossip_part_answer{answer});
 }
 
-void clear_crash_suspect(entry_state& state, entry_request const& request)
+void clear_crash_suspect(entry_state& state, entry_request const& request,
+                         time_point at)
 {
-    if (!state.crashes.requests.empty())
-        decisions::clear_crashes(state.crashes,
-                                 request_fingerprint(request.routed));
+    if (state.crashes.requests.empty())
+        return;
+    decisions::request_answer const answer{
+        .request = request_fingerprint(request.routed), .at = at};
+    if (decisions::record_answer(state.crashes, answer))
+        send(state.peers_service, gossip_request_answer{answer});
 }
 
 void refuse_crashing_request(entry_state& state, entry_context& ctx,
--- a/source/services/messages/peers.hpp
+++ b/source/services/messages/peers.hpp
@@ -2,6 +2,7 @@
 /// that admit requests themselves.
 #pragma once
 
+#include "decisions/crash_history.hpp"
 #include "decisions/crashing_parts.hpp"
 #include "services/messages/routing.hpp"
 #include "services/messages/store.hpp"
@@ -25,11 +26,18 @@
     std::vector<decisions::server_request_count> domain;
 };
 
-/// Gossips that a server died with this request in flight.
-struct gossip_suspect
+/// Gossips that a server crashed with a request in flight.
+struct gossip_request_crash
 {
-    std::uint64_t fingerprint = 0;
-    std::uint64_t server_hash = 0;
+    decisions::request_crash crash;
+    /// It was gossiped before. It is sent in one round and displaces no other.
+    bool is_repeat = false;
+};
+
+/// Gossips an answer that clears a request of earlier crashes.
+struct gossip_request_answer
+{
+    decisions::request_answer answer;
 };
 
 /// Gossips that a server crashed before it answered a request, because of one
@@ -52,7 +60,8 @@
 
 using peers_message =
     std::variant<routers_listed, known_revisions, local_load_report,
-                 gossip_suspect, gossip_prompt_crash, gossip_part_answer,
-                 drain_started, status_query, peers_tick>;
+                 gossip_request_crash, gossip_request_answer,
+                 gossip_prompt_crash, gossip_part_answer, drain_started,
+                 status_query, peers_tick>;
 
 } // namespace bramleyarch::services
--- a/source/services/messages/routing.hpp
+++ b/source/services/messages/routing.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "config/settings.hpp"
+#include "decisions/crash_history.hpp"
 #include "decisions/crashing_parts.hpp"
 #include "decisions/peer_heartbeat.hpp"
 #include "services/messages/owner.hpp"
@@ -78,11 +79,16 @@
     decisions::peer_heartbeat heartbeat;
 };
 
-/// Another router reported that a server died with this request in flight.
-struct peer_suspect_received
+/// Another router reported that a server crashed with a request in flight.
+struct peer_request_crash_received
 {
-    std::uint64_t fingerprint = 0;
-    std::uint64_t server_hash = 0;
+    decisions::request_crash crash;
+};
+
+/// Another router reported an answer that clears a request.
+struct peer_request_answer_received
+{
+    decisions::request_answer answer;
 };
 
 /// Another router reported that a server crashed before it answered a request,
@@ -116,7 +122,8 @@
                  loads_changed, demand_changed, quarantine_update, link_lost,
                  drain_started, status_query, routing_tick, request_expired,
                  idle_query, request_check_due, link_opened, deployment_changed,
-                 attempt_event, peer_heartbeat_received, peer_suspect_received,
+                 attempt_event, peer_heartbeat_received,
+                 peer_request_crash_received, peer_request_answer_received,
                  peer_prompt_crash_received, peer_part_answer_received,
                  fleet_changed, shared_limits_changed>;
 
--- a/source/services/peers/peers_service.cpp
+++ b/source/services/peers/peers_service.cpp
@@ -129,21 +129,24 @@
     peer.sequence = heartbeat.sequence;
     peer.last_seen = now(*state.clock);
     merge_peer_revisions(state, heartbeat);
-    for (auto const& suspect : heartbeat.suspects)
+    auto const time_of = [&peer](auto const& aged)
+    { return peer.last_seen - std::chrono::milliseconds{aged.age_ms}; };
+    for (auto const& crash : heartbeat.request_crashes)
         send(state.routing,
-             peer_suspect_received{suspect.fingerprint, suspect.server});
+             peer_request_crash_received{{.request = crash.request,
+                                          .server = crash.server,
+                                          .at = time_of(crash)}});
+    for (auto const& answer : heartbeat.request_answers)
+        send(state.routing,
+             peer_request_answer_received{{answer.request, time_of(answer)}});
     for (auto& crash : heartbeat.prompt_crashes)
-        send(state.routing, peer_prompt_crash_received{
-                                {.server = crash.server,
-                                 .at = peer.last_seen -
-                                       std::chrono::milliseconds{crash.age_ms},
-                                 .parts = std::move(crash.parts)}});
+        send(state.routing,
+             peer_prompt_crash_received{{.server = crash.server,
+                                         .at = time_of(crash),
+                                         .parts = std::move(crash.parts)}});
     for (auto const& answer : heartbeat.part_answers)
         send(state.routing,
-             peer_part_answer_received{
-                 {.part = answer.part,
-                  .at = peer.last_seen -
-                        std::chrono::milliseconds{answer.age_ms}}});
+             peer_part_answer_received{{answer.part, time_of(answer)}});
     send(state.routing, peer_heartbeat_received{std::move(heartbeat)});
 }
 
@@ -159,6 +162,35 @@
     }
 }
 
+std::uint32_t age_ms(peers_state const& state, time_point at)
+{
+    return static_cast<std::uint32_t>(to_ms(now(*state.clock) - at));
+}
+
+/// Adds the crashes of requests, and the answers that clear them, to a
+/// heartbeat.
+void add_request_news(peers_state& state, decisions::peer_heartbeat& heartbeat)
+{
+    auto const is_sent = [](auto const& pending)
+    { return pending.rounds_left <= 0; };
+    for (auto& [crash, rounds_left] : state.request_crashes)
+    {
+        heartbeat.request_crashes.push_back(
+            {.request = crash.request,
+             .server = crash.server,
+             .age_ms = age_ms(state, crash.at)});
+        --rounds_left;
+    }
+    std::erase_if(state.request_crashes, is_sent);
+    for (auto& [answer, rounds_left] : state.request_answers)
+    {
+        heartbeat.request_answers.push_back(
+            {.request = answer.request, .age_ms = age_ms(state, answer.at)});
+        --rounds_left;
+    }
+    std::erase_if(state.request_answers, is_sent);
+}
+
 /// Adds the oldest crashes to a heartbeat, as many as its size allows; the
 /// others follow in later rounds.
 void add_prompt_crashes(peers_state& state,
@@ -174,11 +206,9 @@
         parts += crash.parts.size();
         if (parts > max_parts && !heartbeat.prompt_crashes.empty())
             break;
-        heartbeat.prompt_crashes.push_back(
-            {.server = crash.server,
-             .age_ms = static_cast<std::uint32_t>(
-                 to_ms(now(*state.clock) - crash.at)),
-             .parts = crash.parts});
+        heartbeat.prompt_crashes.push_back({.server = crash.server,
+                                            .age_ms = age_ms(state, crash.at),
+                                            .parts = crash.parts});
         --pending.rounds_left;
     }
     std::erase_if(state.prompt_crashes, [](pending_prompt_crash const& pending)
@@ -195,8 +225,7 @@
             break;
         heartbeat.part_answers.push_back(
             {.part = pending.answer.part,
-             .age_ms = static_cast<std::uint32_t>(
-                 to_ms(now(*state.clock) - pending.answer.at))});
+             .age_ms = age_ms(state, pending.answer.at)});
         --pending.rounds_left;
     }
     std::erase_if(state.part_answers, [](pending_part_answer const& pending)
@@ -216,13 +245,7 @@
         .sequence = ++state.sequence,
         .rules_revision = state.local_revisions.rules,
         .servers_revision = state.local_revisions.servers};
-    for (auto& suspect : state.suspects)
-    {
-        heartbeat.suspects.push_back(suspect.body);
-        --suspect.rounds_left;
-    }
-    std::erase_if(state.suspects, [](pending_suspect const& suspect)
-                  { return suspect.rounds_left <= 0; });
+    add_request_news(state, heartbeat);
     add_prompt_crashes(state, heartbeat);
     add_part_answers(state, heartbeat);
     auto const round =
@@ -238,18 +261,35 @@
     state.local_revisions = local;
 }
 
-/// Adds a suspected request to the next heartbeats; replaces the oldest one if
-/// too many are pending.
-void handle_message(peers_state& state, context&, gossip_suspect const& suspect)
+/// Adds a crash to the next heartbeats; replaces the oldest one if too many are
+/// pending.
+void handle_message(peers_state& state, context&,
+                    gossip_request_crash const& gossip)
+{
+    auto& pending = state.request_crashes;
+    bool const is_full = pending.size() >= decisions::max_pending_crashes;
+    if (is_full && gossip.is_repeat)
+        return;
+    if (is_full)
+        pending.erase(pending.begin());
+    pending.push_back(
+        {gossip.crash, gossip.is_repeat ? 1 : decisions::rounds_per_suspect});
+}
+
+/// Adds an answer to the next heartbeats. It takes the place of an earlier one
+/// to the same request, or of the oldest one if too many are pending.
+void handle_message(peers_state& state, context&,
+                    gossip_request_answer const& gossip)
 {
-    constexpr std::size_t max_suspects = 32;
-    if (state.suspects.size() >= max_suspects)
-        state.suspects.erase(state.suspects.begin());
-    state.suspects.push_back({{suspect.fingerprint, suspect.server_hash},
-                              decisions::rounds_per_suspect});
+    auto& pending = state.request_answers;
+    std::erase_if(pending, [&gossip](pending_request_answer const& earlier)
+                  { return earlier.answer.request == gossip.answer.request; });
+    if (pending.size() >= decisions::max_pending_crashes)
+        pending.erase(pending.begin());
+    pending.push_back({gossip.answer, decisions::rounds_per_suspect});
 }
 
-/// Adds a crash to the next heartbeats, as with suspected requests.
+/// Adds a crash to the next heartbeats, as with those of requests.
 void handle_message(peers_state& state, context&,
                     gossip_prompt_crash const& gossip)
 {
--- a/source/services/peers/peers_service.hpp
+++ b/source/services/peers/peers_service.hpp
@@ -1,6 +1,6 @@
 /// The peers service: exchanges peer heartbeats with the other routers over
 /// UDP. A heartbeat carries the sender's requests in flight per backend server,
-/// its suspected requests and the newest store revisions that it knows.
+/// the crashes and answers that it knows, and the newest store revisions.
 #pragma once
 
 #include "decisions/peer_heartbeat.hpp"
@@ -49,22 +49,29 @@
     std::uint64_t sequence = 0; ///< Of its newest heartbeat.
 };
 
-/// A suspected request to send in the next heartbeat rounds. It is repeated
-/// because datagrams may be lost.
-struct pending_suspect
+/// A crash to send in the next heartbeat rounds. It is repeated because
+/// datagrams may be lost.
+struct pending_request_crash
 {
-    decisions::suspect_body body;
+    decisions::request_crash crash;
     int rounds_left = 0;
 };
 
-/// A crash to send in the next heartbeat rounds, as `pending_suspect`.
+/// An answer to send in the next heartbeat rounds, as `pending_request_crash`.
+struct pending_request_answer
+{
+    decisions::request_answer answer;
+    int rounds_left = 0;
+};
+
+/// A crash to send in the next heartbeat rounds, as `pending_request_crash`.
 struct pending_prompt_crash
 {
     decisions::prompt_crash crash;
     int rounds_left = 0;
 };
 
-/// An answer to send in the next heartbeat rounds, as `pending_suspect`.
+/// An answer to send in the next heartbeat rounds, as `pending_request_crash`.
 struct pending_part_answer
 {
     decisions::part_answer answer;
@@ -81,9 +88,10 @@
     std::uint64_t sequence = 0; ///< Of the last heartbeat round.
     /// The other routers as last reported to the routing service.
     std::vector<router_id> reported_peers;
-    std::vector<pending_suspect> suspects;            ///< Oldest first.
-    std::vector<pending_prompt_crash> prompt_crashes; ///< Oldest first.
-    std::vector<pending_part_answer> part_answers;    ///< Oldest first.
+    std::vector<pending_request_crash> request_crashes;  ///< Oldest first.
+    std::vector<pending_request_answer> request_answers; ///< Oldest first.
+    std::vector<pending_prompt_crash> prompt_crashes;    ///< Oldest first.
+    std::vector<pending_part_answer> part_answers;       ///< Oldest first.
     known_revisions local_revisions; ///< Newest known to this router.
     known_revisions peer_revisions;  ///< Newest received in heartbeats.
     kernel::address<routing_message> routing;
--- a/source/services/routing/routing_service.cpp
+++ b/source/services/routing/routing_service.cpp
@@ -139,7 +139,8 @@
 requires std::same_as<Message, deployment_changed> ||
     std::same_as<Message, attempt_event> ||
     std::same_as<Message, peer_heartbeat_received> ||
-    std::same_as<Message, peer_suspect_received> ||
+    std::same_as<Message, peer_request_crash_received> ||
+    std::same_as<Message, peer_request_answer_received> ||
     std::same_as<Message, peer_prompt_crash_received> ||
     std::same_as<Message, peer_part_answer_received> ||
     std::same_as<Message, shared_limits_changed> ||
--- a/source/wire/peer_heartbeats.cpp
+++ b/source/wire/peer_heartbeats.cpp
@@ -12,9 +12,15 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, suspect_body& body)
+void serialize(Archive& archive, aged_request_crash& crash)
 {
-    archive(body.fingerprint, body.server);
+    archive(crash.request, crash.server, crash.age_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, aged_request_answer& answer)
+{
+    archive(answer.request, answer.age_ms);
 }
 
 template <class Archive>
@@ -34,7 +40,8 @@
 {
     archive(heartbeat.from, heartbeat.domain, heartbeat.started,
             heartbeat.sequence, heartbeat.rules_revision,
-            heartbeat.servers_revision, heartbeat.loads, heartbeat.suspects,
+            heartbeat.servers_revision, heartbeat.loads,
+            heartbeat.request_crashes, heartbeat.request_answers,
             heartbeat.prompt_crashes, heartbeat.part_answers);
 }
 
@@ -47,7 +54,7 @@
 {
 
 /// First bytes of a heartbeat; the last one is the version of the encoding.
-constexpr std::string_view peer_heartbeat_magic{"brP\x04"};
+constexpr std::string_view peer_heartbeat_magic{"brP\x05"};
 
 /// No datagram is larger.
 constexpr std::size_t max_peer_heartbeat_bytes = 64U << 10;
--- a/tests/unit/services/entry/crash_test.cpp
+++ b/tests/unit/services/entry/crash_test.cpp
@@ -11,6 +11,17 @@
 
 struct crash_fixture : two_server_fixture
 {
+    /// Delivers another router's report of a crash with a request in flight.
+    void report_crash_of_request(std::uint64_t request, std::uint64_t server,
+                                 std::optional<time_point> at = {})
+    {
+        send(entry, peer_request_crash_received{
+                        {.request = request,
+                         .server = server,
+                         .at = at.value_or(now(test_kernel.clock()))}});
+        test_kernel.run_until_idle();
+    }
+
     /// Delivers another router's report of a crash, of part 6.
     void prompt_crash_of_part_6(std::uint64_t server = 8)
     {
@@ -112,7 +123,7 @@
     deliver(server_probed{.server = backend->sent.back().server,
                           .reachable = false});
     BOOST_TEST(received<gossip_prompt_crash>(*peers).empty());
-    BOOST_TEST(received<gossip_suspect>(*peers).size() == 1U);
+    BOOST_TEST(received<gossip_request_crash>(*peers).size() == 1U);
 }
 
 // A server's own error is no proof: it may be sent before the prompt is read.
@@ -163,7 +174,7 @@
     deliver(server_probed{.server = server, .reachable = true});
     test_kernel.advance(2s);
     BOOST_TEST(received<gossip_prompt_crash>(*peers).empty());
-    BOOST_TEST(received<gossip_suspect>(*peers).empty());
+    BOOST_TEST(received<gossip_request_crash>(*peers).empty());
 }
 
 // Guards against crashes that are made of this instance's own want of
@@ -193,7 +204,7 @@
         server.born = 9;
     publish_deployment();
     BOOST_TEST(received<gossip_prompt_crash>(*peers).size() == 1U);
-    BOOST_TEST(received<gossip_suspect>(*peers).size() == 1U);
+    BOOST_TEST(received<gossip_request_crash>(*peers).size() == 1U);
 }
 
 // Guards against a large fleet that refuses a part which most of its routers
@@ -269,14 +280,83 @@
     BOOST_TEST(received<gossip_prompt_crash>(*peers).size() == 1U);
 }
 
-/// Forwarding makes a suspect reach routers that do not receive the heartbeats
-/// of the router that reported it.
-BOOST_AUTO_TEST_CASE(new_suspect_is_forwarded_once)
+/// Forwarding makes a crash reach routers that do not receive the heartbeats of
+/// the router that reported it.
+BOOST_AUTO_TEST_CASE(new_crash_of_a_request_is_forwarded_once)
 {
     for (int i = 0; i < 3; ++i)
-        send(entry, peer_suspect_received{.fingerprint = 7, .server_hash = 8});
+        report_crash_of_request(7, 8);
+    BOOST_TEST(received<gossip_request_crash>(*peers).size() == 1U);
+}
+
+// Guards against routers that restart, or were cut off, and pass on a request
+// which the others refuse: nobody reported its crashes again.
+BOOST_AUTO_TEST_CASE(crashes_of_a_refused_request_are_repeated)
+{
+    for (std::uint64_t server = 1; server <= 2; ++server)
+        report_crash_of_request(7, server);
+    peers->clear();
+    test_kernel.advance(5s);
+    BOOST_TEST(received<gossip_request_crash>(*peers).empty());
+    auto const third = now(test_kernel.clock());
+    report_crash_of_request(7, 3);
+    peers->clear();
+    test_kernel.advance(1s);
+    auto const repeated = received<gossip_request_crash>(*peers);
+    BOOST_REQUIRE(repeated.size() == 3U);
+    BOOST_TEST(repeated[2].is_repeat);
+    BOOST_TEST((repeated[2].crash.at == third));
+    // They expire although routers repeat them to each other.
+    for (int second = 0; second < 180; ++second)
+    {
+        report_crash_of_request(7, 3, third);
+        test_kernel.advance(1s);
+    }
+    peers->clear();
+    test_kernel.advance(5s);
+    BOOST_TEST(received<gossip_request_crash>(*peers).empty());
+}
+
+// Guards against a sound request that one router refuses, and that all others
+// come to refuse as its crashes are repeated.
+BOOST_AUTO_TEST_CASE(answer_to_a_suspected_request_reaches_the_other_routers)
+{
+    submit(idempotent, 2);
+    auto const second_attempt_of = [this]
+    {
+        crash_server_of_last_attempt();
+        return backend->sent.back().attempt;
+    };
+    auto const attempt = second_attempt_of();
+    auto const crash = received<gossip_request_crash>(*peers).at(0).crash;
+    test_kernel.advance(100ms);
+    BOOST_TEST((backend->sent.back().attempt == attempt));
+    answer_last_attempt(200, "done");
+    BOOST_TEST(received<gossip_request_answer>(*peers).size() == 1U);
+    // A report of the crash is answered with the answer, and adds nothing.
+    report_crash_of_request(crash.request, crash.server, crash.at);
+    BOOST_TEST(received<gossip_request_answer>(*peers).size() == 2U);
+    BOOST_TEST(received<gossip_request_crash>(*peers).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(answer_of_another_router_clears_a_request)
+{
+    submit(non_idempotent, 1);
+    crash_server_of_last_attempt();
+    auto const crash = received<gossip_request_crash>(*peers).at(0).crash;
+    for (std::uint64_t server = 1; server <= 2; ++server)
+        report_crash_of_request(crash.request, server);
+    submit(non_idempotent, 1);
+    BOOST_REQUIRE(last_caller().error);
+    BOOST_TEST((last_caller().error->cause.kind == error_kind::quarantined));
+    test_kernel.advance(1s);
+    send(entry, peer_request_answer_received{
+                    {crash.request, now(test_kernel.clock())}});
     test_kernel.run_until_idle();
-    BOOST_TEST(received<gossip_suspect>(*peers).size() == 1U);
+    BOOST_TEST(received<gossip_request_answer>(*peers).size() == 1U);
+    auto const sent = backend->sent.size();
+    submit(non_idempotent, 1);
+    BOOST_TEST(backend->sent.size() == sent + 1);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/services/peers/peers_service_test.cpp
+++ b/tests/unit/services/peers/peers_service_test.cpp
@@ -158,6 +158,59 @@
     BOOST_TEST(sent[0].age_ms < 4900U);
 }
 
+BOOST_AUTO_TEST_CASE(crashes_and_answers_of_requests_travel_with_their_age)
+{
+    send_heartbeat({.from = {"r2"},
+                    .started = 5,
+                    .sequence = 1,
+                    .request_crashes = {{31, 32, 4000}},
+                    .request_answers = {{33, 5000}}});
+    run_until(
+        [this]
+        { return !received<peer_request_answer_received>(*routing).empty(); });
+    auto const crash =
+        received<peer_request_crash_received>(*routing).at(0).crash;
+    auto const answer =
+        received<peer_request_answer_received>(*routing).at(0).answer;
+    BOOST_TEST(crash.request == 31U);
+    BOOST_TEST(crash.server == 32U);
+    BOOST_TEST(answer.request == 33U);
+    BOOST_TEST((now(test_kernel.clock()) - crash.at >= 4s));
+    BOOST_TEST((now(test_kernel.clock()) - answer.at >= 5s));
+
+    send(peers, gossip_request_crash{crash});
+    send(peers, gossip_request_answer{answer});
+    for (int round = 0; round < 6; ++round)
+        send(peers, local_load_report{});
+    run_until([this] { return received_heartbeats.size() == 6; });
+    auto const& first = received_heartbeats.front();
+    BOOST_REQUIRE(first.request_crashes.size() == 1U);
+    BOOST_TEST(first.request_crashes[0].age_ms >= 4000U);
+    BOOST_REQUIRE(first.request_answers.size() == 1U);
+    BOOST_TEST(first.request_answers[0].age_ms >= 5000U);
+    // They are sent in some rounds, since datagrams may be lost.
+    BOOST_TEST(received_heartbeats.at(1).request_crashes.size() == 1U);
+    BOOST_TEST(received_heartbeats.back().request_crashes.empty());
+    BOOST_TEST(received_heartbeats.back().request_answers.empty());
+}
+
+// Guards against new crashes that are lost because known ones are repeated.
+BOOST_AUTO_TEST_CASE(repeated_crashes_displace_no_new_ones)
+{
+    send_heartbeat({.from = {"r2"}, .started = 5, .sequence = 1});
+    run_until([this] { return fleet_size() == 2; });
+    auto const at = now(test_kernel.clock());
+    for (std::uint64_t n = 1; n <= decisions::max_pending_crashes; ++n)
+        send(peers, gossip_request_crash{{n, n, at}});
+    send(peers, gossip_request_crash{{99, 99, at}, true});
+    send(peers, local_load_report{});
+    run_until([this] { return !received_heartbeats.empty(); });
+    auto const& sent = received_heartbeats.front().request_crashes;
+    BOOST_REQUIRE(sent.size() == decisions::max_pending_crashes);
+    BOOST_TEST(sent.front().request == 1U);
+    BOOST_TEST(sent.back().request == decisions::max_pending_crashes);
+}
+
 BOOST_AUTO_TEST_CASE(crashes_of_prompt_parts_travel_with_their_age)
 {
     send_heartbeat({.from = {"r2"},
@@ -226,7 +279,7 @@
         {.from = {"r2"}, .domain = {"a"}, .started = 5, .sequence = 1});
     run_until([this] { return fleet_size() == 2; });
     for (std::uint64_t n = 1; n <= suspects; ++n)
-        send(peers, gossip_suspect{n, n});
+        send(peers, gossip_request_crash{{n, n, now(test_kernel.clock())}});
     for (std::uint64_t n = 1; n <= crashes; ++n)
         send(peers, gossip_prompt_crash{{.server = n,
                                          .at = now(test_kernel.clock()),
@@ -244,7 +297,7 @@
     }
     auto const& fullest = received_heartbeats.front();
     BOOST_TEST(fullest.loads.size() == servers);
-    BOOST_TEST(fullest.suspects.size() == suspects);
+    BOOST_TEST(fullest.request_crashes.size() == suspects);
     BOOST_TEST(fullest.prompt_crashes.size() == crashes);
     BOOST_TEST(fullest.part_answers.size() ==
                decisions::max_answers_per_heartbeat);
--- a/tests/unit/wire/peer_heartbeats_test.cpp
+++ b/tests/unit/wire/peer_heartbeats_test.cpp
@@ -18,7 +18,8 @@
                                        .rules_revision = 31,
                                        .servers_revision = 32,
                                        .loads = {{11, 3}, {12, 4}},
-                                       .suspects = {{21, 22}},
+                                       .request_crashes = {{21, 22, 23}},
+                                       .request_answers = {{24, 25}},
                                        .prompt_crashes = {{31, 32, {33, 34}}},
                                        .part_answers = {{41, 42}}};
 
@@ -40,9 +41,13 @@
     BOOST_REQUIRE(heartbeat.loads.size() == 2U);
     BOOST_TEST(heartbeat.loads[1].server == 12U);
     BOOST_TEST(heartbeat.loads[1].in_flight == 4U);
-    BOOST_REQUIRE(heartbeat.suspects.size() == 1U);
-    BOOST_TEST(heartbeat.suspects[0].fingerprint == 21U);
-    BOOST_TEST(heartbeat.suspects[0].server == 22U);
+    BOOST_REQUIRE(heartbeat.request_crashes.size() == 1U);
+    BOOST_TEST(heartbeat.request_crashes[0].request == 21U);
+    BOOST_TEST(heartbeat.request_crashes[0].server == 22U);
+    BOOST_TEST(heartbeat.request_crashes[0].age_ms == 23U);
+    BOOST_REQUIRE(heartbeat.request_answers.size() == 1U);
+    BOOST_TEST(heartbeat.request_answers[0].request == 24U);
+    BOOST_TEST(heartbeat.request_answers[0].age_ms == 25U);
     BOOST_REQUIRE(heartbeat.prompt_crashes.size() == 1U);
     BOOST_TEST(heartbeat.prompt_crashes[0].server == 31U);
     BOOST_TEST(heartbeat.prompt_crashes[0].age_ms == 32U);
