Report body pieces that arrive together as one event

Reported by operators: a faulty server's bytes without end took all memory of the machine that had called it.

Cause: answers were limited in bytes, but each piece of a body travelled as an event and messages of its own, several hundred times the memory of a piece of two bytes. Received bytes were also moved after each step of the parser.

Change: body bytes of one answer that wait to be reported are one event, and the client erases received bytes once for all steps.

Both tests fail with an event for each piece and pass now.

--- a/source/http/client_io.cpp
+++ b/source/http/client_io.cpp
@@ -176,11 +176,21 @@
     return true;
 }
 
+/// Reports the bytes as one event with those of the same answer before them, as
+/// a server may send pieces of a byte: an event for each takes several hundred
+/// times their memory on its way.
 void on_body(client& c, server_connection& s, std::string_view bytes)
 {
     s.credit -= std::min<std::uint64_t>(s.credit, bytes.size());
     s.body_bytes += bytes.size();
-    report(c, response_bytes{.id = s.request.id, .bytes = std::string{bytes}});
+    auto* const last = c.events.empty()
+                           ? nullptr
+                           : std::get_if<response_bytes>(&c.events.back());
+    if (last && last->id == s.request.id)
+        last->bytes.append(bytes);
+    else
+        report(c,
+               response_bytes{.id = s.request.id, .bytes = std::string{bytes}});
 }
 
 void on_received(client& c, server_connection& s, std::string_view bytes)
@@ -351,7 +361,9 @@
 
 void read_answer(client& c, server_connection& s)
 {
-    while (!s.held.empty() && s.parser.state != parse_state::complete)
+    std::size_t used = 0;
+    while (used < s.held.size() && s.parser.state != parse_state::complete &&
+           s.parser.state != parse_state::failed)
     {
         bool const in_body = s.parser.state == parse_state::body;
         if (in_body && s.credit == 0)
@@ -359,15 +371,15 @@
         // The head is parsed byte for byte with what follows it: limit the
         // step so that the body's first bytes stay within the credit.
         auto const step = std::min<std::uint64_t>(
-            s.held.size(), std::max<std::uint64_t>(s.credit, 1));
-        auto const used =
-            parse(s.parser, std::string_view{s.held}.substr(0, step));
-        s.held.erase(0, used);
-        if (s.parser.state == parse_state::failed)
-        {
-            end_failed(c, s, {error_kind::server_protocol, "malformed answer"});
-            return;
-        }
+            s.held.size() - used, std::max<std::uint64_t>(s.credit, 1));
+        used += parse(s.parser, std::string_view{s.held}.substr(used, step));
+    }
+    // Once for all steps, which may be small.
+    s.held.erase(0, used);
+    if (s.parser.state == parse_state::failed)
+    {
+        end_failed(c, s, {error_kind::server_protocol, "malformed answer"});
+        return;
     }
     if (s.parser.state == parse_state::complete)
     {
--- a/tests/unit/http/client_answer_test.cpp
+++ b/tests/unit/http/client_answer_test.cpp
@@ -195,6 +195,23 @@
     }
 }
 
+// Guards against memory for each piece of a body that a server sends in pieces
+// of two bytes, which is several hundred times as much as the bytes take.
+BOOST_AUTO_TEST_CASE(pieces_that_arrive_together_are_one_event)
+{
+    constexpr std::size_t pieces = 100'000;
+    constexpr std::size_t least_pieces_per_event = 100;
+    std::string text = chunked_head;
+    for (std::size_t i = 0; i < pieces; ++i)
+        text += chunk("x\n");
+    testing::raw_server server{{.parts = {text + "0\r\n\r\n"}}};
+    http::open(*client, request_to(server.port()));
+    finish();
+    BOOST_TEST(seen.ends == 1U);
+    BOOST_TEST(seen.body.size() == 2 * pieces);
+    BOOST_TEST(seen.body_events < pieces / least_pieces_per_event);
+}
+
 // Guards against a server whose bytes have no end, wherever they are.
 BOOST_AUTO_TEST_CASE(heads_without_end_fail)
 {
--- a/tests/unit/http/client_fixture.hpp
+++ b/tests/unit/http/client_fixture.hpp
@@ -26,6 +26,7 @@
     std::vector<std::uint64_t> sent;
     std::optional<http::response_head> head;
     std::string body;
+    std::size_t body_events = 0;
     std::size_t ends = 0;
     std::vector<http::response_failed> failures;
 
@@ -42,7 +43,10 @@
     if (auto* e = std::get_if<http::response_head>(&event))
         into.head = std::move(*e);
     if (auto* e = std::get_if<http::response_bytes>(&event))
+    {
         into.body += e->bytes;
+        ++into.body_events;
+    }
     if (std::holds_alternative<http::response_end>(event))
         ++into.ends;
     if (auto* e = std::get_if<http::response_failed>(&event))
--- a/tests/unit/http/raw_server.cpp
+++ b/tests/unit/http/raw_server.cpp
@@ -143,7 +143,8 @@
     return request.substr(begin, request.find("\r\n", begin) - begin);
 }
 
-void write_part(tcp::socket& socket, std::string part, std::string const& id)
+/// Returns false once the peer has closed the connection.
+bool write_part(tcp::socket& socket, std::string part, std::string const& id)
 {
     std::string const placeholder = "{id}";
     for (auto at = part.find(placeholder); at != std::string::npos;
@@ -151,6 +152,7 @@
         part.replace(at, placeholder.size(), id);
     boost::system::error_code failed;
     asio::write(socket, asio::buffer(part), failed);
+    return !failed;
 }
 
 /// Reads a request, if the script says so, and answers it.
@@ -173,8 +175,12 @@
         reply = candidate;
         break;
     }
+    auto const id = request_id_of(request);
     for (auto const& part : reply.parts)
-        write_part(socket, part, request_id_of(request));
+        write_part(socket, part, id);
+    while (reply.endless && write_part(socket, reply.parts.back(), id))
+    {
+    }
     return reply.then;
 }
 
--- a/tests/unit/http/raw_server.hpp
+++ b/tests/unit/http/raw_server.hpp
@@ -25,6 +25,8 @@
     std::string when{}; ///< Text that the request contains.
     std::vector<std::string> parts{};
     ending then = ending::close;
+    /// The last part is written again until the peer closes.
+    bool endless = false;
 };
 
 struct raw_script
--- a/tests/unit/platform/broken_answers_test.cpp
+++ b/tests/unit/platform/broken_answers_test.cpp
@@ -5,6 +5,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
+#include <fstream>
+#include <memory>
 #include <string_view>
 
 using namespace bramleyarch;
@@ -197,6 +200,25 @@
     return replies;
 }
 
+/// Lets `peak_memory_bytes` start again at what is in use now.
+void reset_peak_memory()
+{
+    std::ofstream{"/proc/self/clear_refs"} << '5';
+}
+
+/// Returns the most memory that the process has had resident.
+std::size_t peak_memory_bytes()
+{
+    std::ifstream status{"/proc/self/status"};
+    std::string word;
+    std::size_t kib = 0;
+    while (status >> word && word != "VmHWM:")
+    {
+    }
+    status >> kib;
+    return kib << 10;
+}
+
 /// Where an answer stops: in its status line, in a header, before the empty
 /// line, before its first byte, and in the size of a chunk.
 std::vector<std::string> broken_heads()
@@ -306,4 +328,42 @@
     }
 }
 
+// Guards against a router that runs out of memory, or holds up its other
+// callers, by answers without end in pieces of two bytes.
+BOOST_AUTO_TEST_CASE(answers_without_end_take_bounded_memory)
+{
+    constexpr std::size_t callers = 64;
+    // Of each answer: what is held back, what its caller has not read, and what
+    // is received beyond that.
+    constexpr std::size_t max_answer_bytes =
+        (256U << 10) + services::initial_credit_bytes + (96U << 10);
+    std::string pieces;
+    while (pieces.size() < (16U << 10))
+        pieces += chunk("x\n");
+    for (std::string const route : {"/look/1", "/single/1", "/resumed/1"})
+    {
+        raw_reply const endless{
+            .when = route,
+            .parts = {"HTTP/1.1 200 OK\r\n" + signed_head + stream_type +
+                          "transfer-encoding: chunked\r\n\r\n" + chunk(begin),
+                      pieces},
+            .endless = true};
+        scripted_fixture path{{endless}, {endless}};
+        path.keep_connections();
+        reset_peak_memory();
+        auto const before = peak_memory_bytes();
+        std::vector<std::unique_ptr<raw_caller>> open;
+        for (std::size_t i = 0; i < callers; ++i)
+        {
+            open.push_back(std::make_unique<raw_caller>(
+                path.options.callers_port->load()));
+            open.back()->write(make_request(route, "id-" + std::to_string(i)));
+        }
+        auto const end = std::chrono::steady_clock::now() + 1500ms;
+        path.run_until([&] { return std::chrono::steady_clock::now() > end; });
+        BOOST_TEST_CONTEXT(route)
+        BOOST_TEST(peak_memory_bytes() - before < callers * max_answer_bytes);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
