Abandon responses of the store that have no end

Cause: the store service kept all bytes of a response, so that one without end took all memory.

Change: a response above 16 MiB is abandoned and requested again.

Result: response_without_end_is_abandoned passes; nothing abandoned the response before.

--- a/source/services/store/store_service.cpp
+++ b/source/services/store/store_service.cpp
@@ -47,15 +47,6 @@
         replace_long_watch(state, *sync, *head.length);
 }
 
-void handle_event(store_state& state, pending_request& request,
-                  http::response_bytes const& bytes)
-{
-    request.body += bytes.bytes;
-    request.last_byte_at = current_time(state);
-    if (auto* const sync = find_sync(state, bytes.id))
-        replace_long_watch(state, *sync, request.body.size());
-}
-
 void handle_event(store_state& state, pending_request&,
                   http::response_end const& end)
 {
@@ -77,6 +68,25 @@
         handle_lease_failure(state, reason);
 }
 
+void handle_event(store_state& state, pending_request& request,
+                  http::response_bytes const& bytes)
+{
+    request.body += bytes.bytes;
+    request.last_byte_at = current_time(state);
+    if (request.body.size() > state.options.max_response_bytes)
+    {
+        state.transport.close(bytes.id);
+        handle_event(state, request,
+                     http::response_failed{
+                         .id = bytes.id,
+                         .cause = {error_kind::server_protocol,
+                                   "the response exceeds the size limit"}});
+        return;
+    }
+    if (auto* const sync = find_sync(state, bytes.id))
+        replace_long_watch(state, *sync, request.body.size());
+}
+
 /// Passes an event on to its request; ignores events of abandoned requests.
 void dispatch_event(store_state& state, http::client_event event)
 {
--- a/source/services/store/store_service.hpp
+++ b/source/services/store/store_service.hpp
@@ -44,6 +44,8 @@
     decisions::discovery_options discovery;
     /// Replaces the HTTP client in tests.
     store_transport transport;
+    /// Longest response; many times a page of a list, or a record.
+    std::size_t max_response_bytes = 16U << 20;
     duration connect_timeout = std::chrono::milliseconds{600};
     /// Timeout of requests that the store answers at once; some hundred times
     /// the usual response time of 4 ms.
--- a/tests/unit/services/store/store_service_test.cpp
+++ b/tests/unit/services/store/store_service_test.cpp
@@ -48,6 +48,25 @@
     BOOST_TEST(router_count() == 0U);
 }
 
+// Guards against a router that keeps all bytes of a response without end.
+BOOST_AUTO_TEST_CASE(response_without_end_is_abandoned)
+{
+    auto const id = last("list rules").id;
+    deliver_event(http::response_head{.id = id, .status = 200});
+    std::string const megabyte(1U << 20, 'x');
+    constexpr std::size_t max_megabytes = 16;
+    for (std::size_t i = 0; i < max_megabytes; ++i)
+        deliver_event(http::response_bytes{id, megabyte});
+    BOOST_TEST(closed.empty());
+    deliver_event(http::response_bytes{id, "x"});
+    BOOST_REQUIRE(closed.size() == 1U);
+    BOOST_TEST(closed.front() == id);
+    runtime.advance(1s);
+    BOOST_TEST(count("list rules") == 2U);
+    complete_start();
+    BOOST_TEST(server_count() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(dead_watch_is_restarted_when_peers_advertise_newer_changes)
 {
     complete_start();
