Limit the answers that bramleyctl reads

Cause: calls of the operators' program kept all bytes of an answer until their time limit.

Change: an answer above 16 MiB is given up.

Result: answer_without_end_is_given_up passes; the answer was read until the time limit before.

--- a/source/control/http_calls.cpp
+++ b/source/control/http_calls.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// Longest body of an answer; many times a configuration.
+constexpr std::size_t max_answer_bytes = 16U << 20;
+
 /// A call on its way.
 struct running_call
 {
@@ -31,16 +34,26 @@
 
 void handle(running_call& call, http::response_bytes const& bytes)
 {
+    if (call.outcome)
+        return;
     call.answer.body += bytes.bytes;
+    if (call.answer.body.size() <= max_answer_bytes)
+        return;
+    call.answer = {};
+    call.outcome =
+        fail(error_kind::platform_timeout, "the answer exceeds the size limit");
 }
 
 void handle(running_call& call, http::response_end const&)
 {
-    call.outcome = std::move(call.answer);
+    if (!call.outcome)
+        call.outcome = std::move(call.answer);
 }
 
 void handle(running_call& call, http::response_failed const& failed)
 {
+    if (call.outcome)
+        return;
     auto const kind = failed.sent || call.sent
                           ? error_kind::platform_timeout
                           : error_kind::platform_unavailable;
