--- a/tests/unit/platform/standins.cpp
+++ b/tests/unit/platform/standins.cpp
@@ -139,6 +139,34 @@
             std::string{field.value()};
 }
 
+constexpr std::string_view stream_prefix = "/chat/";
+
+/// Sends as many events as the request asks for, each at its own time, so that
+/// a late one does not delay those after it.
+asio::awaitable<bool> send_events(server_standin& server, asio::io_context& io,
+                                  connection_ptr connection,
+                                  http_response response)
+{
+    auto const events =
+        std::stoi(path_of(*connection).substr(stream_prefix.size()));
+    auto const begin = std::chrono::steady_clock::now();
+    response.set(http::field::content_type, "text/event-stream");
+    if (!co_await send_stream_head(connection, std::move(response)))
+        co_return false;
+    asio::steady_timer timer{io};
+    for (int id = 1; id <= events && !connection->gone; ++id)
+    {
+        auto const due = begin + id * server.event_gap;
+        co_await sleep(timer, due - std::chrono::steady_clock::now());
+        if (!co_await send_chunk(connection, "id: " + std::to_string(id) +
+                                                 "\ndata: token\n\n"))
+            co_return false;
+    }
+    if (connection->gone)
+        co_return false;
+    co_return co_await send_chunk(connection, "");
+}
+
 asio::awaitable<bool> handle_server(server_standin& server,
                                     asio::io_context& io,
                                     connection_ptr connection)
@@ -166,6 +194,9 @@
     }
     if (server.fault != server_fault::no_signature)
         response.set(std::string{signature_header}, "sig");
+    if (path_of(*connection).starts_with(stream_prefix))
+        co_return co_await send_events(server, io, connection,
+                                       std::move(response));
     ++server.running;
     asio::steady_timer timer{io};
     while (server.fault == server_fault::silent && !connection->gone)
--- a/tests/unit/platform/standins.hpp
+++ b/tests/unit/platform/standins.hpp
@@ -6,6 +6,7 @@
 #include "testing/http_server.hpp"
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -70,7 +71,7 @@
 };
 
 /// Stand-in for a backend server. Answers with its id and the body of the
-/// request.
+/// request. A request for `/chat/N` gets a stream of N events.
 struct server_standin
 {
     std::string id;
@@ -80,7 +81,8 @@
     std::vector<std::string> executed;
     std::map<std::string, std::string> headers; ///< Of the last request.
     std::atomic<server_fault> fault{server_fault::none};
-    std::atomic<int> running{0}; ///< Requests in progress.
+    std::chrono::milliseconds event_gap{0}; ///< Between events of a stream.
+    std::atomic<int> running{0};            ///< Requests in progress.
     /// Requests whose connection was closed before they were answered.
     std::atomic<int> abandoned{0};
 };
