--- a/tests/process/child.cpp
+++ b/tests/process/child.cpp
@@ -40,6 +40,16 @@
                   bp::std_out > parts_->output, bp::std_err > error_file};
 }
 
+child::child(std::string const& program,
+             std::vector<std::string> const& arguments,
+             std::string const& error_file, std::string const& output_file)
+    : parts_(std::make_unique<parts>())
+{
+    parts_->process =
+        bp::child{bp::exe = program, bp::args = arguments,
+                  bp::std_out > output_file, bp::std_err > error_file};
+}
+
 child::~child()
 {
     if (!parts_ || !running())
--- a/tests/process/child.hpp
+++ b/tests/process/child.hpp
@@ -19,6 +19,9 @@
 public:
     child(std::string const& program, std::vector<std::string> const& arguments,
           std::string const& error_file);
+    /// Both outputs go to files; `read_line` returns nothing.
+    child(std::string const& program, std::vector<std::string> const& arguments,
+          std::string const& error_file, std::string const& output_file);
     ~child();
     child(child&&) noexcept;
     child& operator=(child&&) noexcept;
