--- a/tests/unit/services/peers/peers_service_test.cpp
+++ b/tests/unit/services/peers/peers_service_test.cpp
@@ -272,13 +272,13 @@
 BOOST_AUTO_TEST_CASE(fullest_heartbeats_are_accepted)
 {
     constexpr std::uint64_t servers = 2125;
-    constexpr std::uint64_t suspects = 32;
+    constexpr std::uint64_t request_crashes = 32;
     constexpr std::uint64_t crashes = 32;
     constexpr std::uint64_t answers = 1024;
     send_heartbeat(
         {.from = {"r2"}, .domain = {"a"}, .started = 5, .sequence = 1});
     run_until([this] { return fleet_size() == 2; });
-    for (std::uint64_t n = 1; n <= suspects; ++n)
+    for (std::uint64_t n = 1; n <= request_crashes; ++n)
         send(peers, gossip_request_crash{{n, n, now(test_kernel.clock())}});
     for (std::uint64_t n = 1; n <= crashes; ++n)
         send(peers, gossip_prompt_crash{{.server = n,
@@ -297,7 +297,7 @@
     }
     auto const& fullest = received_heartbeats.front();
     BOOST_TEST(fullest.loads.size() == servers);
-    BOOST_TEST(fullest.request_crashes.size() == suspects);
+    BOOST_TEST(fullest.request_crashes.size() == request_crashes);
     BOOST_TEST(fullest.prompt_crashes.size() == crashes);
     BOOST_TEST(fullest.part_answers.size() ==
                decisions::max_answers_per_heartbeat);
