--- a/source/config/deployment.hpp
+++ b/source/config/deployment.hpp
@@ -5,10 +5,12 @@
 /// servers are part of the operators' document.
 #pragma once
 
+#include "common/enum_names.hpp"
 #include "common/ids.hpp"
 #include "common/request.hpp"
 #include "common/time.hpp"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -97,6 +99,7 @@
     service_id service;
     domain_id domain;
     endpoint address;
+    std::string version; ///< Of the server's software; empty: not stated.
     std::uint32_t slots = 1;
     bool leaving = false;
     duration cold_left{};   ///< When the entry was written.
@@ -106,12 +109,57 @@
     bool operator==(listed_server const&) const = default;
 };
 
+/// An operator's request to move a service's requests to the servers of another
+/// version.
+struct rollout_order
+{
+    service_id service;
+    std::string to_version;
+    duration length{};    ///< From the order to its deadline.
+    revision changed = 0; ///< Of the order; identifies it.
+
+    bool operator==(rollout_order const&) const = default;
+};
+
+/// How far a rollout is. The last two states are final.
+enum class rollout_state : std::uint8_t
+{
+    running,
+    succeeded,
+    rolled_back,
+};
+
+constexpr auto enum_names(rollout_state)
+{
+    using r = rollout_state;
+    using row = enum_name<rollout_state>;
+    return std::array{row{r::running, "running"},
+                      row{r::succeeded, "succeeded"},
+                      row{r::rolled_back, "rolled_back"}};
+}
+
+/// State of a rollout as it is stored.
+struct rollout_status
+{
+    service_id service;
+    std::string to_version;
+    rollout_state state = rollout_state::running;
+    /// Revision of the order that the status belongs to; 0: not stated, the
+    /// status belongs to the newest order of the version.
+    revision order = 0;
+    revision changed = 0; ///< Of the status.
+
+    bool operator==(rollout_status const&) const = default;
+};
+
 /// Everything that is known, as of one moment. Immutable once shared.
 struct deployment
 {
     std::shared_ptr<routing_rules const> rules; ///< Null: none accepted yet.
     std::map<server_id, listed_server> servers;
     std::set<domain_id> taken_out; ///< Domains whose servers get no new work.
+    std::map<service_id, rollout_order> rollouts; ///< Orders in force.
+    std::map<service_id, rollout_status> rollout_statuses;
 };
 
 } // namespace bramleyarch::config
--- a/source/decisions/peer_heartbeat.hpp
+++ b/source/decisions/peer_heartbeat.hpp
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "common/ids.hpp"
+#include "config/deployment.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -61,6 +63,51 @@
 inline constexpr std::size_t max_answers_per_heartbeat = 256;
 inline constexpr std::size_t max_pending_answers = 1024;
 
+/// Time that work takes on a server's machine, with its age.
+struct aged_server_pace
+{
+    std::uint64_t server = 0; ///< `name_hash` of the server's id.
+    std::uint32_t pace_percent =
+        0;                    ///< 100: as usual; 300: three times as long.
+    std::uint32_t age_ms = 0; ///< When the heartbeat was sent.
+};
+
+/// Paces in one heartbeat, 1 KiB.
+inline constexpr std::size_t max_paces_per_heartbeat = 64;
+
+/// Requests of one route at one version of a service, counted from the order of
+/// the rollout on.
+struct version_counts
+{
+    std::uint64_t route = 0;  ///< `name_hash` of the route's name.
+    bool new_version = false; ///< The version that the order names.
+    std::uint32_t sent = 0;
+    std::uint32_t answered = 0; ///< Good answers, slow ones included.
+    std::uint32_t failed = 0;
+    std::uint32_t slow = 0;
+};
+
+/// What a router knows of a rollout. In a heartbeat to another failure domain:
+/// the counts of all routers of the sender's domain.
+struct rollout_evidence
+{
+    std::uint64_t service = 0; ///< `name_hash` of the service's id.
+    revision order = 0;        ///< Revision of the order.
+    config::rollout_state state = config::rollout_state::running;
+    std::vector<version_counts> counts;
+};
+
+/// Demand for a service at one router. In a heartbeat to another failure
+/// domain: at all routers of the sender's domain.
+struct service_demand
+{
+    std::uint64_t service = 0;   ///< `name_hash` of the service's id.
+    std::uint32_t in_flight = 0; ///< Requests sent and not answered.
+    std::uint32_t waiting = 0;   ///< Requests in the queue.
+    /// Recent arrivals, requests per 10 s.
+    std::uint32_t arrivals_per_10_s = 0;
+};
+
 struct peer_heartbeat
 {
     router_id from;
@@ -78,6 +125,9 @@
     std::vector<aged_request_answer> request_answers;
     std::vector<aged_prompt_crash> prompt_crashes;
     std::vector<aged_part_answer> part_answers;
+    std::vector<aged_server_pace> server_paces;
+    std::vector<rollout_evidence> rollouts;
+    std::vector<service_demand> service_demands;
 };
 
 } // namespace bramleyarch::decisions
--- a/source/services/messages/peers.hpp
+++ b/source/services/messages/peers.hpp
@@ -24,6 +24,14 @@
     /// Requests in flight from all routers of the domain, this one included,
     /// per backend server. Sent to peers in other domains.
     std::vector<decisions::server_request_count> domain;
+    /// Paces of servers, sent to all peers.
+    std::vector<decisions::aged_server_pace> paces;
+    /// Rollouts as counted by this router, and by all routers of the domain.
+    std::vector<decisions::rollout_evidence> local_rollouts;
+    std::vector<decisions::rollout_evidence> domain_rollouts;
+    /// Demand at this router, and at all routers of the domain.
+    std::vector<decisions::service_demand> local_demands;
+    std::vector<decisions::service_demand> domain_demands;
 };
 
 /// Gossips that a server crashed with a request in flight.
--- a/source/services/messages/routing.hpp
+++ b/source/services/messages/routing.hpp
@@ -116,6 +116,13 @@
     std::vector<router_id> others;
 };
 
+/// The status of a rollout that the store holds. It is the outcome of a
+/// `rollout_decision`, or was read.
+struct rollout_status_known
+{
+    config::rollout_status status;
+};
+
 using routing_message =
     std::variant<submit_request, cancel_request, answer_bytes_consumed,
                  owner_reply_received, config_changed, members_changed,
@@ -125,6 +132,6 @@
                  attempt_event, peer_heartbeat_received,
                  peer_request_crash_received, peer_request_answer_received,
                  peer_prompt_crash_received, peer_part_answer_received,
-                 fleet_changed, shared_limits_changed>;
+                 fleet_changed, shared_limits_changed, rollout_status_known>;
 
 } // namespace bramleyarch::services
--- a/source/services/messages/store.hpp
+++ b/source/services/messages/store.hpp
@@ -6,6 +6,7 @@
 #include "services/messages/shared.hpp"
 
 #include <cstdint>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -34,12 +35,24 @@
     known_revisions revisions;
 };
 
+/// The routing service decided on a rollout. The store service writes the state
+/// under the condition that the stored status is the one it knows, until it is
+/// known what is stored.
+struct rollout_decision
+{
+    service_id service;
+    revision order = 0; ///< Revision of the order that was decided on.
+    std::string to_version;
+    config::rollout_state state = config::rollout_state::running;
+};
+
 /// Delivered by the store service's own timers.
 struct store_tick
 {
 };
 
-using store_message = std::variant<store_tick, peer_revisions_received,
-                                   drain_started, status_query>;
+using store_message =
+    std::variant<store_tick, peer_revisions_received, drain_started,
+                 status_query, rollout_decision>;
 
 } // namespace bramleyarch::services
--- a/source/services/peers/peers_service.cpp
+++ b/source/services/peers/peers_service.cpp
@@ -250,9 +250,14 @@
     add_part_answers(state, heartbeat);
     auto const round =
         next_heartbeat_targets(state.rotation, state.options.rotation);
+    heartbeat.server_paces = std::move(report.paces);
     heartbeat.loads = std::move(report.local);
+    heartbeat.rollouts = std::move(report.local_rollouts);
+    heartbeat.service_demands = std::move(report.local_demands);
     send_heartbeat(state, round.own_domain, heartbeat);
     heartbeat.loads = std::move(report.domain);
+    heartbeat.rollouts = std::move(report.domain_rollouts);
+    heartbeat.service_demands = std::move(report.domain_demands);
     send_heartbeat(state, round.other_domains, heartbeat);
 }
 
--- a/source/services/store/store_service.cpp
+++ b/source/services/store/store_service.cpp
@@ -97,6 +97,8 @@
     std::visit([&](auto const& e) { handle_event(state, *request, e); }, event);
 }
 
+void handle_message(store_state&, context&, rollout_decision const&) {}
+
 void handle_message(store_state& state, context& ctx, store_tick)
 {
     schedule(ctx, tick_interval, store_tick{});
--- a/source/wire/peer_heartbeats.cpp
+++ b/source/wire/peer_heartbeats.cpp
@@ -35,14 +35,41 @@
     archive(answer.part, answer.age_ms);
 }
 
+template <class Archive>
+void serialize(Archive& archive, aged_server_pace& pace)
+{
+    archive(pace.server, pace.pace_percent, pace.age_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, version_counts& counts)
+{
+    archive(counts.route, counts.new_version, counts.sent, counts.answered,
+            counts.failed, counts.slow);
+}
+
+template <class Archive>
+void serialize(Archive& archive, rollout_evidence& evidence)
+{
+    archive(evidence.service, evidence.order, evidence.state, evidence.counts);
+}
+
+template <class Archive>
+void serialize(Archive& archive, service_demand& demand)
+{
+    archive(demand.service, demand.in_flight, demand.waiting,
+            demand.arrivals_per_10_s);
+}
+
 template <class Archive>
 void serialize(Archive& archive, peer_heartbeat& heartbeat)
 {
-    archive(heartbeat.from, heartbeat.domain, heartbeat.started,
-            heartbeat.sequence, heartbeat.rules_revision,
-            heartbeat.servers_revision, heartbeat.loads,
-            heartbeat.request_crashes, heartbeat.request_answers,
-            heartbeat.prompt_crashes, heartbeat.part_answers);
+    archive(
+        heartbeat.from, heartbeat.domain, heartbeat.started, heartbeat.sequence,
+        heartbeat.rules_revision, heartbeat.servers_revision, heartbeat.loads,
+        heartbeat.request_crashes, heartbeat.request_answers,
+        heartbeat.prompt_crashes, heartbeat.part_answers,
+        heartbeat.server_paces, heartbeat.rollouts, heartbeat.service_demands);
 }
 
 } // namespace bramleyarch::decisions
@@ -54,7 +81,7 @@
 {
 
 /// First bytes of a heartbeat; the last one is the version of the encoding.
-constexpr std::string_view peer_heartbeat_magic{"brP\x05"};
+constexpr std::string_view peer_heartbeat_magic{"brP\x06"};
 
 /// No datagram is larger.
 constexpr std::size_t max_peer_heartbeat_bytes = 64U << 10;
--- a/tests/unit/wire/peer_heartbeats_test.cpp
+++ b/tests/unit/wire/peer_heartbeats_test.cpp
@@ -11,17 +11,24 @@
 namespace
 {
 
-decisions::peer_heartbeat const sample{.from = {"r1"},
-                                       .domain = {"a"},
-                                       .started = 7,
-                                       .sequence = 9,
-                                       .rules_revision = 31,
-                                       .servers_revision = 32,
-                                       .loads = {{11, 3}, {12, 4}},
-                                       .request_crashes = {{21, 22, 23}},
-                                       .request_answers = {{24, 25}},
-                                       .prompt_crashes = {{31, 32, {33, 34}}},
-                                       .part_answers = {{41, 42}}};
+decisions::peer_heartbeat const sample{
+    .from = {"r1"},
+    .domain = {"a"},
+    .started = 7,
+    .sequence = 9,
+    .rules_revision = 31,
+    .servers_revision = 32,
+    .loads = {{11, 3}, {12, 4}},
+    .request_crashes = {{21, 22, 23}},
+    .request_answers = {{24, 25}},
+    .prompt_crashes = {{31, 32, {33, 34}}},
+    .part_answers = {{41, 42}},
+    .server_paces = {{51, 300, 52}},
+    .rollouts = {{61,
+                  62,
+                  config::rollout_state::running,
+                  {{63, true, 64, 65, 66, 67}}}},
+    .service_demands = {{71, 72, 73, 74}}};
 
 } // namespace
 
@@ -55,6 +62,27 @@
     BOOST_REQUIRE(heartbeat.part_answers.size() == 1U);
     BOOST_TEST(heartbeat.part_answers[0].part == 41U);
     BOOST_TEST(heartbeat.part_answers[0].age_ms == 42U);
+    BOOST_REQUIRE(heartbeat.server_paces.size() == 1U);
+    BOOST_TEST(heartbeat.server_paces[0].server == 51U);
+    BOOST_TEST(heartbeat.server_paces[0].pace_percent == 300U);
+    BOOST_TEST(heartbeat.server_paces[0].age_ms == 52U);
+    BOOST_REQUIRE(heartbeat.rollouts.size() == 1U);
+    auto const& rollout = heartbeat.rollouts[0];
+    BOOST_TEST(rollout.service == 61U);
+    BOOST_TEST(rollout.order == 62U);
+    BOOST_TEST((rollout.state == config::rollout_state::running));
+    BOOST_REQUIRE(rollout.counts.size() == 1U);
+    BOOST_TEST(rollout.counts[0].route == 63U);
+    BOOST_TEST(rollout.counts[0].new_version);
+    BOOST_TEST(rollout.counts[0].sent == 64U);
+    BOOST_TEST(rollout.counts[0].answered == 65U);
+    BOOST_TEST(rollout.counts[0].failed == 66U);
+    BOOST_TEST(rollout.counts[0].slow == 67U);
+    BOOST_REQUIRE(heartbeat.service_demands.size() == 1U);
+    BOOST_TEST(heartbeat.service_demands[0].service == 71U);
+    BOOST_TEST(heartbeat.service_demands[0].in_flight == 72U);
+    BOOST_TEST(heartbeat.service_demands[0].waiting == 73U);
+    BOOST_TEST(heartbeat.service_demands[0].arrivals_per_10_s == 74U);
 }
 
 BOOST_AUTO_TEST_CASE(truncated_and_extended_heartbeats_are_rejected)
--- a/tools/lint.py
+++ b/tools/lint.py
@@ -75,8 +75,9 @@
     root = str(ROOT)
     digest = hashlib.sha256(common)
     digest.update(" ".join(flags).replace(root, ".").encode())
-    for name in names:
-        digest.update(name.replace(root, ".").encode())
+    # Ordered by the names below the root, which are the same in every clone.
+    for shown, name in sorted((name.replace(root, "."), name) for name in names):
+        digest.update(shown.encode())
         digest.update(content_hash(name))
     return digest.hexdigest()
 
