Hold requests until a starting router knows its deployment

Change: the front end holds requests at its start until rules and a server are known, 0.5 s each and 256 at once at most. Result: requests_wait_until_a_starting_router_knows_the_rules gets 503 with the hold switched off and 200 with it.

--- a/source/services/front/front_service.cpp
+++ b/source/services/front/front_service.cpp
@@ -5,7 +5,9 @@
 #include "services/loops/http_loop.hpp"
 #include "services/messages/names.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
 #include <utility>
 
 namespace bramleyarch::services
@@ -18,6 +20,9 @@
 
 constexpr duration tick_interval = std::chrono::seconds{1};
 
+/// A tenth of the time that a request is held at startup.
+constexpr duration startup_tick_interval = std::chrono::milliseconds{50};
+
 /// Refuses a request that was not passed to the routing service and therefore
 /// has not run.
 void reject(front_state& state, http::exchange_id exchange, request_id id,
@@ -72,29 +77,76 @@
            {error_kind::draining, "the routing service has stopped"});
 }
 
-void handle_event(front_state& state, http::request_received request)
+/// Returns whether a request waits until this router knows the rules and the
+/// servers. A refusal at once costs its caller a try though the deployment is
+/// known a moment later, which is the case for all callers when all routers
+/// start at the same time.
+bool is_held_at_startup(front_state const& state)
+{
+    return state.options.dialect.route && !state.has_started_up &&
+           !state.draining &&
+           state.startup_requests.size() < state.options.max_startup_requests;
+}
+
+void admit(front_state& state, http::exchange_id exchange,
+           incoming_request incoming)
 {
-    auto const id = make_request_id(state);
+    auto const id = incoming.id;
     if (auto cause = find_admission_error(state))
     {
-        reject(state, request.id, id, std::move(*cause));
+        reject(state, exchange, id, std::move(*cause));
         return;
     }
-    incoming_request incoming{.id = id,
-                              .method = std::move(request.method),
-                              .target = std::move(request.target),
-                              .headers = std::move(request.headers),
-                              .body = std::move(request.body),
-                              .received = now(*state.clock)};
     auto routed =
         state.options.dialect.route
             ? state.options.dialect.route(*state.deployment,
                                           std::move(incoming))
             : match_request(*state.config, state.teams, std::move(incoming));
     if (!routed)
-        reject(state, request.id, id, std::move(routed).error());
+        reject(state, exchange, id, std::move(routed).error());
+    else
+        submit(state, exchange, std::move(routed).value());
+}
+
+/// Admits the requests that were held since before `received_before`.
+void release_startup_requests(front_state& state, time_point received_before)
+{
+    auto const is_released = [received_before](startup_request const& request)
+    { return request.incoming.received <= received_before; };
+    auto& held = state.startup_requests;
+    auto const kept = std::find_if_not(held.begin(), held.end(), is_released);
+    std::vector<startup_request> released{std::make_move_iterator(held.begin()),
+                                          std::make_move_iterator(kept)};
+    held.erase(held.begin(), kept);
+    if (released.empty())
+        return;
+    log(state.telemetry_sink, log_severity::info, "startup_hold_ended",
+        fmt::format(
+            "requests={} longest_ms={} deployment_known={}", released.size(),
+            to_ms(now(*state.clock) - released.front().incoming.received),
+            state.has_started_up));
+    for (auto& request : released)
+        admit(state, request.exchange, std::move(request.incoming));
+}
+
+void end_startup(front_state& state)
+{
+    state.has_started_up = true;
+    release_startup_requests(state, time_point::max());
+}
+
+void handle_event(front_state& state, http::request_received request)
+{
+    incoming_request incoming{.id = make_request_id(state),
+                              .method = std::move(request.method),
+                              .target = std::move(request.target),
+                              .headers = std::move(request.headers),
+                              .body = std::move(request.body),
+                              .received = now(*state.clock)};
+    if (is_held_at_startup(state))
+        state.startup_requests.push_back({request.id, std::move(incoming)});
     else
-        submit(state, request.id, std::move(routed).value());
+        admit(state, request.id, std::move(incoming));
 }
 
 void handle_event(front_state& state, http::request_refused refused)
@@ -111,6 +163,9 @@
 
 void handle_event(front_state& state, http::caller_left const& departure)
 {
+    std::erase_if(state.startup_requests,
+                  [&departure](startup_request const& request)
+                  { return request.exchange == departure.id; });
     cancel_abandoned_request(state, departure.id);
 }
 
@@ -147,6 +202,20 @@
                          .max_body_bytes = callers.max_body_bytes,
                          .head_limit = callers.head_limit,
                          .idle_limit = callers.idle_limit});
+    if (!state.has_started_up && !state.deployment->servers.empty())
+        end_startup(state);
+}
+
+void handle(front_state& state, context& ctx, startup_tick)
+{
+    if (state.has_started_up)
+        return;
+    auto const at = now(ctx);
+    release_startup_requests(state, at - state.options.max_startup_hold);
+    if (at - state.started_at >= state.options.max_startup_time)
+        end_startup(state);
+    else
+        schedule(ctx, startup_tick_interval, startup_tick{});
 }
 
 /// The server keeps listening while it drains. A caller that receives the
@@ -155,6 +224,7 @@
 void handle(front_state& state, context&, drain_started)
 {
     state.draining = true;
+    end_startup(state);
     http::end_reuse(*state.server);
     http::refuse_unfinished(
         *state.server, {error_kind::draining, "this instance is stopping"});
@@ -204,8 +274,11 @@
          .write_limit = state.options.write_limit},
         [](front_state& front, auto&& event)
         { handle_event(front, std::forward<decltype(event)>(event)); });
-    if (is_listening)
-        schedule(ctx, tick_interval, front_tick{});
+    if (!is_listening)
+        return;
+    schedule(ctx, tick_interval, front_tick{});
+    state.started_at = now(ctx);
+    schedule(ctx, startup_tick_interval, startup_tick{});
 }
 
 void receive(front_state& state, context& ctx, front_message message)
--- a/source/services/front/front_service.hpp
+++ b/source/services/front/front_service.hpp
@@ -17,6 +17,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace bramleyarch::services
 {
@@ -54,6 +55,17 @@
     duration head_limit = std::chrono::seconds{10};
     duration body_limit = std::chrono::seconds{30};
     duration write_limit = std::chrono::seconds{60};
+    /// While a router that has just started does not know the rules and servers
+    /// of its deployment, a request is held for this time at most. Callers
+    /// abandon an attempt that is not read within a third of their deadline,
+    /// which is 1.5 s or more where instances are this slow to start.
+    duration max_startup_hold = std::chrono::milliseconds{500};
+    /// Time from the start after which no request is held, since the store does
+    /// not answer. Many routers that start together read the deployment within
+    /// 2 s.
+    duration max_startup_time = std::chrono::seconds{3};
+    /// Requests that are held at the same time; the others are refused.
+    std::size_t max_startup_requests = 256;
     /// Receives the bound port. May be null.
     std::shared_ptr<std::atomic<std::uint16_t>> bound_port;
 };
@@ -76,6 +88,13 @@
     std::uint32_t unreported_bytes = 0;
 };
 
+/// A request that waits until the deployment is known.
+struct startup_request
+{
+    http::exchange_id exchange = 0;
+    incoming_request incoming;
+};
+
 struct front_state
 {
     front_options options;
@@ -85,6 +104,11 @@
     runtime_clock const* clock = nullptr;
     config_snapshot config;
     std::shared_ptr<config::deployment const> deployment;
+    /// The rules and a server have been known once, or `max_startup_time` has
+    /// passed.
+    bool has_started_up = false;
+    time_point started_at{};
+    std::vector<startup_request> startup_requests; ///< Oldest first.
     team_index teams;
     std::unordered_map<request_id, open_request> requests;
     std::unordered_map<http::exchange_id, request_id> request_ids;
--- a/source/services/messages/front.hpp
+++ b/source/services/messages/front.hpp
@@ -22,11 +22,17 @@
 {
 };
 
+/// Delivered by the front end's own timers while it starts up.
+struct startup_tick
+{
+};
+
 /// The front end answers `idle_query` with true once it has written all bytes
 /// of all answers.
 using front_message =
     std::variant<answer_message, config_changed, drain_started, status_query,
-                 idle_query, front_tick, deployment_changed, leaving_started>;
+                 idle_query, front_tick, deployment_changed, leaving_started,
+                 startup_tick>;
 
 /// Answer to an operator's HTTP request.
 struct admin_page
--- a/tests/unit/platform/whole_path_test.cpp
+++ b/tests/unit/platform/whole_path_test.cpp
@@ -43,6 +43,45 @@
         has_status(send_and_receive(make_request("/book/1", "id-2")), "200"));
 }
 
+// Guards against refusals of all callers when all routers start at the same
+// time: the balancer then sends to routers that have not read the rules yet.
+BOOST_AUTO_TEST_CASE(requests_wait_until_a_starting_router_knows_the_rules)
+{
+    erase(fakes.store, rules_key);
+    start();
+    run_until([this] { return call_count(fakes.store, "/kv-watch") > 0; });
+    raw_caller caller{options.callers_port->load()};
+    caller.write(make_request("/book/1", "id-1"));
+    run_until([this] { return !is_ready(); });
+    put(fakes.store, rules_key, make_rules(3, book_route));
+    run_until(
+        [&]
+        {
+            caller.poll();
+            return !caller.received.empty();
+        });
+    BOOST_TEST(has_status(caller.received, "200"));
+}
+
+// Guards against a caller that waits in vain while the store has no rules.
+BOOST_AUTO_TEST_CASE(a_caller_that_left_at_startup_is_forgotten)
+{
+    erase(fakes.store, rules_key);
+    start();
+    {
+        raw_caller caller{options.callers_port->load()};
+        caller.write(make_request("/book/1", "id-1"));
+        run_until([this] { return call_count(fakes.store, "/kv-watch") > 0; });
+    }
+    put(fakes.store, rules_key, make_rules(3, book_route));
+    run_until([this] { return is_ready(); });
+    BOOST_TEST(
+        has_status(send_and_receive(make_request("/book/1", "id-2")), "200"));
+    BOOST_TEST(executed_requests(server_1).size() +
+                   executed_requests(server_2).size() ==
+               1U);
+}
+
 BOOST_AUTO_TEST_CASE(unknown_routes_and_keys_are_refused)
 {
     start_and_wait_until_ready();
