--- a/source/decisions/discovery.cpp
+++ b/source/decisions/discovery.cpp
@@ -1,5 +1,7 @@
 #include "decisions/discovery.hpp"
 
+#include "decisions/status_record.hpp"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <set>
@@ -28,6 +30,75 @@
     state.deferred_removals.erase(id);
 }
 
+/// True if the rules name the service of an order.
+bool is_in_force(discovery const& state, service_id const& service)
+{
+    auto const& rules = state.deployment.rules;
+    return rules && rules->services.contains(service);
+}
+
+/// Puts the orders of the services that the rules name in force, and drops the
+/// statuses of other orders. Returns what changed, for the log.
+std::string refresh_rollouts(discovery& state)
+{
+    auto& deployment = state.deployment;
+    std::map<service_id, config::rollout_order> in_force;
+    std::string text;
+    for (auto const& [service, order] : state.orders)
+    {
+        if (!is_in_force(state, service))
+            continue;
+        in_force.emplace(service, order);
+        auto const known = deployment.rollouts.find(service);
+        if (known == deployment.rollouts.end() || known->second != order)
+            text += fmt::format(
+                " rollout service={} order={} to={} length_ms={} in force",
+                service.value, order.changed, order.to_version,
+                to_ms(order.length));
+    }
+    for (auto const& [service, order] : deployment.rollouts)
+    {
+        if (!in_force.contains(service))
+            text += fmt::format(" rollout service={} order={} out of force",
+                                service.value, order.changed);
+    }
+    deployment.rollouts = std::move(in_force);
+    std::erase_if(deployment.rollout_statuses,
+                  [&](auto const& entry)
+                  {
+                      auto const order = deployment.rollouts.find(entry.first);
+                      return order == deployment.rollouts.end() ||
+                             !belongs_to(entry.second, order->second);
+                  });
+    return text;
+}
+
+discovery_effect apply_content(discovery& state, record_change const& change,
+                               config::rollout_order const& order, time_point)
+{
+    auto const& service = order.service;
+    if (change.removed)
+    {
+        if (state.orders.erase(service) == 0)
+            return {};
+        return {.deployment_changed = true,
+                .log_text =
+                    fmt::format("order withdrawn:{}", refresh_rollouts(state))};
+    }
+    auto next = order;
+    next.changed = change.changed;
+    state.orders[service] = std::move(next);
+    auto const text = refresh_rollouts(state);
+    if (is_in_force(state, service))
+        return {.deployment_changed = true,
+                .log_text = fmt::format("order adopted:{}", text)};
+    return {.deployment_changed = !text.empty(),
+            .order_ignored = true,
+            .log_text = fmt::format("rollout service={} not in force: the "
+                                    "rules do not name the service",
+                                    service.value)};
+}
+
 discovery_effect apply_content(discovery& state, record_change const& change,
                                rules_record const& rules, time_point)
 {
@@ -41,8 +112,8 @@
                     rules->version, state.deployment.rules->version)};
     state.deployment.rules = rules;
     return {.deployment_changed = true,
-            .log_text =
-                fmt::format("rules version {} adopted", rules->version)};
+            .log_text = fmt::format("rules version {} adopted{}",
+                                    rules->version, refresh_rollouts(state))};
 }
 
 /// Removes a server now, or defers its removal if it may still run.
@@ -98,11 +169,12 @@
     // A server that leaves does not return before its next start.
     next.leaving = next.leaving || (same_start && known->second.leaving);
     state.sequences[id] = entry.sequence;
-    auto text = fmt::format("server={} service={} domain={} address={}:{} "
-                            "leaving={} cold_ms={} born={}",
-                            id.value, next.service.value, next.domain.value,
-                            next.address.address, next.address.port,
-                            next.leaving, to_ms(next.cold_left), next.born);
+    auto text =
+        fmt::format("server={} service={} domain={} address={}:{} "
+                    "version={} leaving={} cold_ms={} born={}",
+                    id.value, next.service.value, next.domain.value,
+                    next.address.address, next.address.port, next.version,
+                    next.leaving, to_ms(next.cold_left), next.born);
     state.deployment.servers[id] = std::move(next);
     return {.deployment_changed = true, .log_text = std::move(text)};
 }
@@ -140,7 +212,8 @@
 {
     if (ignored.reason.empty())
         return {};
-    return {.log_text =
+    return {.order_ignored = ignored.is_order,
+            .log_text =
                 fmt::format("key={} ignored: {}", change.key, ignored.reason)};
 }
 
@@ -198,6 +271,37 @@
                       change.content);
 }
 
+discovery_effect record_rollout_status(discovery& state,
+                                       config::rollout_status const& status)
+{
+    auto& deployment = state.deployment;
+    auto const order = deployment.rollouts.find(status.service);
+    if (order == deployment.rollouts.end() ||
+        !belongs_to(status, order->second))
+        return {};
+    auto const known = deployment.rollout_statuses.find(status.service);
+    if (known != deployment.rollout_statuses.end() && known->second == status)
+        return {};
+    deployment.rollout_statuses[status.service] = status;
+    return {.deployment_changed = true,
+            .log_text =
+                fmt::format("rollout service={} order={} to={} state={}",
+                            status.service.value, order->second.changed,
+                            status.to_version, to_name(status.state))};
+}
+
+std::map<std::string, std::size_t>
+server_versions(config::deployment const& deployment, service_id const& service)
+{
+    std::map<std::string, std::size_t> versions;
+    for (auto const& [id, server] : deployment.servers)
+    {
+        if (server.service == service)
+            ++versions[server.version];
+    }
+    return versions;
+}
+
 std::vector<std::string> missing_keys(discovery const& state,
                                       std::set<std::string> const& listed)
 {
--- a/source/decisions/discovery.hpp
+++ b/source/decisions/discovery.hpp
@@ -45,6 +45,8 @@
 struct ignored_record
 {
     std::string reason; ///< Written to the log; empty: nothing is written.
+    /// True for the order of a rollout that can't be used; it is counted.
+    bool is_order = false;
 };
 
 struct domain_taken_out
@@ -54,7 +56,8 @@
 
 using store_record =
     std::variant<ignored_record, std::shared_ptr<config::routing_rules const>,
-                 server_entry, unusable_entry, domain_taken_out, listed_router>;
+                 server_entry, unusable_entry, domain_taken_out, listed_router,
+                 config::rollout_order>;
 
 /// One key as it was written, or its removal.
 struct record_change
@@ -89,6 +92,9 @@
     /// Sequence of the entry in use of each server.
     std::map<server_id, std::uint64_t> sequences;
     std::map<std::string, listed_router> routers; ///< By key.
+    /// Newest valid order of each service, also of services that the rules do
+    /// not name. Those of named services are in force.
+    std::map<service_id, config::rollout_order> orders;
     /// Servers whose entries were removed in connection with an outage of the
     /// store, with the time at which they are removed here.
     std::map<server_id, time_point> deferred_removals;
@@ -104,7 +110,8 @@
 {
     bool deployment_changed = false;
     bool routers_changed = false;
-    std::string log_text; ///< Empty: nothing to log.
+    bool order_ignored = false; ///< An order is malformed or not in force.
+    std::string log_text;       ///< Empty: nothing to log.
 };
 
 /// Records that the store does not answer.
@@ -126,6 +133,16 @@
 std::vector<std::string> missing_keys(discovery const& state,
                                       std::set<std::string> const& listed);
 
+/// Records the status that is stored for the order in force of its service.
+/// Any other status is ignored.
+discovery_effect record_rollout_status(discovery& state,
+                                       config::rollout_status const& status);
+
+/// Returns the number of servers of a service by version.
+std::map<std::string, std::size_t>
+server_versions(config::deployment const& deployment,
+                service_id const& service);
+
 /// Removes the servers that did not register again in time. Removes none
 /// while the store is unavailable.
 discovery_effect remove_expired_servers(discovery& state, time_point at);
--- a/tests/unit/decisions/discovery_test.cpp
+++ b/tests/unit/decisions/discovery_test.cpp
@@ -43,6 +43,34 @@
                 std::make_shared<config::routing_rules const>(std::move(made))};
 }
 
+record_change rules_of(revision changed, std::vector<std::string> const& names)
+{
+    config::routing_rules made{.version = changed};
+    for (auto const& name : names)
+        made.services[{name}] = {.id = {name}};
+    return {.key = "rules",
+            .changed = changed,
+            .content =
+                std::make_shared<config::routing_rules const>(std::move(made))};
+}
+
+record_change order(revision changed, std::string const& to = "v2")
+{
+    return {.key = "orders/llm",
+            .changed = changed,
+            .content = config::rollout_order{
+                .service = {"llm"}, .to_version = to, .length = 12s}};
+}
+
+config::rollout_status status(revision of_order, revision changed)
+{
+    return {.service = {"llm"},
+            .to_version = "v2",
+            .state = config::rollout_state::rolled_back,
+            .order = of_order,
+            .changed = changed};
+}
+
 struct fixture
 {
     discovery state;
@@ -194,6 +222,65 @@
     BOOST_TEST(state.deployment.taken_out.empty());
 }
 
+BOOST_AUTO_TEST_CASE(an_order_is_replaced_and_withdrawn)
+{
+    apply_change(state, rules_of(1, {"llm"}), begin);
+    BOOST_TEST(apply_change(state, order(2), begin).deployment_changed);
+    BOOST_TEST(state.deployment.rollouts.at({"llm"}).changed == 2U);
+    BOOST_TEST(record_rollout_status(state, status(2, 3)).deployment_changed);
+    BOOST_TEST(!record_rollout_status(state, status(2, 3)).deployment_changed);
+    // The same order written again is another order.
+    apply_change(state, order(4), begin);
+    BOOST_TEST(state.deployment.rollouts.at({"llm"}).changed == 4U);
+    BOOST_TEST(state.deployment.rollout_statuses.empty());
+    BOOST_TEST(!record_rollout_status(state, status(2, 5)).deployment_changed);
+    auto withdrawal = order(6);
+    withdrawal.removed = true;
+    BOOST_TEST(apply_change(state, withdrawal, begin).deployment_changed);
+    BOOST_TEST(state.deployment.rollouts.empty());
+    BOOST_TEST(!record_rollout_status(state, status(4, 7)).deployment_changed);
+}
+
+BOOST_AUTO_TEST_CASE(a_malformed_order_leaves_the_one_in_force)
+{
+    apply_change(state, rules_of(1, {"llm"}), begin);
+    apply_change(state, order(2), begin);
+    auto malformed = order(3);
+    malformed.content =
+        ignored_record{.reason = "no version", .is_order = true};
+    auto const effect = apply_change(state, malformed, begin);
+    BOOST_TEST(effect.order_ignored);
+    BOOST_TEST(!effect.deployment_changed);
+    BOOST_TEST(state.deployment.rollouts.at({"llm"}).changed == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(an_order_comes_into_force_when_the_rules_name_its_service)
+{
+    apply_change(state, rules_of(1, {"desk"}), begin);
+    auto const effect = apply_change(state, order(2), begin);
+    BOOST_TEST(effect.order_ignored);
+    BOOST_TEST(!effect.log_text.empty());
+    BOOST_TEST(state.deployment.rollouts.empty());
+    apply_change(state, rules_of(3, {"desk", "llm"}), begin);
+    BOOST_TEST(state.deployment.rollouts.at({"llm"}).changed == 2U);
+    apply_change(state, rules_of(4, {"desk"}), begin);
+    BOOST_TEST(state.deployment.rollouts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(servers_of_a_service_are_counted_by_version)
+{
+    for (auto const* id : {"s1", "s2", "s3"})
+    {
+        auto change = server(1, id);
+        auto& entry = std::get<server_entry>(change.content);
+        entry.server.version = id == std::string{"s3"} ? "v2" : "v1";
+        apply_change(state, change, begin);
+    }
+    auto const versions = server_versions(state.deployment, {"llm"});
+    BOOST_TEST(versions.at("v1") == 2U);
+    BOOST_TEST(versions.at("v2") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(keys_missing_from_a_complete_list_are_found)
 {
     apply_change(state, server(1, "s1"), begin);
