Decode orders, versions and statuses of rollouts, encode conditional writes

Cause: the routers have to read op/rollout and to write status/rollout under the condition of the revision that they know. Change: records and store codec. A server entry whose version is not a text is unusable; a malformed order is ignored with its reason.

--- a/source/services/store/store_codec.hpp
+++ b/source/services/store/store_codec.hpp
@@ -5,6 +5,7 @@
 #include "common/enum_names.hpp"
 #include "common/error.hpp"
 #include "decisions/discovery.hpp"
+#include "decisions/status_record.hpp"
 
 #include <array>
 #include <cstdint>
@@ -84,6 +85,20 @@
     /// Returns a record that identifies what the removed key stood for.
     decisions::store_record (*decode_removed_key)(std::string_view key) =
         nullptr;
+    /// Encodes a read of the key that holds the status of a service's rollout.
+    store_request (*encode_status_read)(service_id const& service) = nullptr;
+    /// Decodes the response to a read that found the key.
+    result<decisions::stored_status> (*decode_status_read)(
+        std::string_view body) = nullptr;
+    /// Encodes a write of a status that is executed only while the revision of
+    /// the key is `expected`; 0: while the key does not exist.
+    store_request (*encode_status_write)(config::rollout_status const& status,
+                                         revision expected) = nullptr;
+    /// Returns the revision of the key after an executed write.
+    result<revision> (*decode_status_write)(std::string_view body) = nullptr;
+    /// Decodes the response to a write whose condition did not hold.
+    result<decisions::stored_status> (*decode_status_conflict)(
+        std::string_view body) = nullptr;
 };
 
 } // namespace bramleyarch::services
--- a/tests/unit/platform/records_test.cpp
+++ b/tests/unit/platform/records_test.cpp
@@ -185,6 +185,63 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(decodes_orders_and_versions_of_servers)
+{
+    auto const record = decode_record(
+        "op/rollout/llm", R"({"Service":"llm","To":"v2","DurationS":12.5})");
+    auto const& order = std::get<config::rollout_order>(record);
+    BOOST_TEST(order.service.value == "llm");
+    BOOST_TEST(order.to_version == "v2");
+    BOOST_TEST((order.length == 12500ms));
+    auto const removed = decode_record("op/rollout/llm", std::nullopt);
+    BOOST_TEST(std::get<config::rollout_order>(removed).service.value == "llm");
+    std::string const rest =
+        R"("Service":"llm","Address":"10.0.0.9:8080","Zone":"a","Slots":64,)"
+        R"("State":"ready","ColdRemainingMs":0,"Sequence":4})";
+    auto const server =
+        decode_record("servers/i-1", R"({"Version":"v1",)" + rest);
+    BOOST_TEST(std::get<server_entry>(server).server.version == "v1");
+    auto const odd = decode_record("servers/i-1", R"({"Version":2,)" + rest);
+    BOOST_TEST(std::holds_alternative<unusable_entry>(odd));
+}
+
+// Guards against a rollout that an operator's typing error starts or replaces.
+BOOST_AUTO_TEST_CASE(malformed_orders_are_ignored_with_a_reason)
+{
+    for (std::string const text :
+         {"", "[]", "{}", R"({"Service":"x","To":"v2","DurationS":12})",
+          R"({"To":"v2","DurationS":12})", R"({"Service":"llm","To":"v2"})",
+          R"({"Service":"llm","DurationS":12})",
+          R"({"Service":"llm","To":2,"DurationS":12})",
+          R"({"Service":"llm","To":"v2","DurationS":0})",
+          R"({"Service":"llm","To":"v2","DurationS":-3})",
+          R"({"Service":"llm","To":"v2","DurationS":"12"})",
+          R"({"Service":"llm","To":"v2","DurationS":1e300})"})
+    {
+        auto const record = decode_record("op/rollout/llm", text);
+        auto const* const ignored = std::get_if<ignored_record>(&record);
+        BOOST_REQUIRE_MESSAGE(ignored, text);
+        BOOST_TEST(ignored->is_order);
+        BOOST_TEST(!ignored->reason.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(statuses_are_decoded_as_encoded)
+{
+    config::rollout_status const status{.service = {"llm"},
+                                        .to_version = "v2",
+                                        .state =
+                                            config::rollout_state::rolled_back,
+                                        .order = 17};
+    auto const text = encode_status(status);
+    BOOST_TEST(text.find(R"("State":"rolled_back")") != std::string::npos);
+    BOOST_TEST((decode_status({"llm"}, text) == status));
+    for (auto const* odd :
+         {"", "[]", "{}", R"({"State":"done","To":"v2"})",
+          R"({"State":"running"})", R"({"State":"running","To":7})"})
+        BOOST_TEST(!decode_status({"llm"}, odd).has_value(), odd);
+}
+
 BOOST_AUTO_TEST_CASE(removed_keys_decode_to_their_ids)
 {
     auto const server = decode_record("servers/i-1", std::nullopt);
--- a/tests/unit/platform/store_codec_test.cpp
+++ b/tests/unit/platform/store_codec_test.cpp
@@ -87,6 +87,55 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(statuses_are_written_under_a_condition)
+{
+    auto const codec = store_codec();
+    config::rollout_status const status{
+        .service = {"desk"}, .to_version = "v2", .order = 17};
+    auto const body = json::parse(codec.encode_status_write(status, 41).body);
+    BOOST_TEST(body["ExpectedRevision"] ==
+               json::parse(R"([{"Key":"status/rollout/desk","Revision":41}])"));
+    BOOST_TEST(body["SetKeys"][0]["Key"] == "status/rollout/desk");
+    BOOST_TEST(body["SetKeys"][0]["Lease"] == 0);
+    BOOST_TEST(codec.encode_status_read({"desk"}).target ==
+               "/kv-key?Key=status/rollout/desk");
+    BOOST_TEST(codec.decode_status_write(R"({"Revision":42})").value() == 42U);
+
+    json const item{{"Key", "status/rollout/desk"},
+                    {"Value", body["SetKeys"][0]["Value"]},
+                    {"Revision", 42}};
+    auto const read = codec.decode_status_read(item.dump());
+    BOOST_TEST(read.value().changed == 42U);
+    BOOST_REQUIRE(read.value().status.has_value());
+    BOOST_TEST(read.value().status->order == 17U);
+    auto const conflict = codec.decode_status_conflict(
+        json{{"Items", json::array({item})}}.dump());
+    BOOST_TEST((conflict.value().status == read.value().status));
+    auto const gone = codec.decode_status_conflict(R"({"Items":[]})");
+    BOOST_TEST(gone.value().changed == 0U);
+}
+
+// Guards against a value of another writer that ends the routers, or keeps them
+// from storing a state: the key's revision is known and it is overwritten.
+BOOST_AUTO_TEST_CASE(statuses_that_can_not_be_read_keep_their_revision)
+{
+    auto const codec = store_codec();
+    for (auto const& value : {json(to_base64("x")), json("?"), json(7)})
+    {
+        json const item{
+            {"Key", "status/rollout/desk"}, {"Value", value}, {"Revision", 42}};
+        auto const read = codec.decode_status_read(item.dump());
+        BOOST_TEST(read.value().changed == 42U);
+        BOOST_TEST(!read.value().status.has_value());
+    }
+    for (std::string const text : {"", "[]", "{}", R"({"Revision":"x"})"})
+    {
+        BOOST_TEST(!codec.decode_status_read(text).has_value(), text);
+        BOOST_TEST(!codec.decode_status_write(text).has_value(), text);
+        BOOST_TEST(!codec.decode_status_conflict(text).has_value(), text);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_router_registers_under_its_lease)
 {
     auto const codec = store_codec();
