--- a/source/services/store/group_sync.cpp
+++ b/source/services/store/group_sync.cpp
@@ -38,19 +38,6 @@
     send(state.peers, std::move(message));
 }
 
-/// Logs the effect and publishes what it touched.
-void publish_effect(store_state& state,
-                    decisions::discovery_effect const& effect)
-{
-    if (!effect.log_text.empty())
-        log(state.telemetry_sink, log_severity::info, "discovery",
-            effect.log_text);
-    if (effect.deployment_changed)
-        publish_deployment(state);
-    if (effect.routers_changed)
-        publish_routers(state);
-}
-
 /// Applies changes that arrived together and publishes their effect once.
 void apply_changes(store_state& state,
                    std::vector<decisions::record_change> const& changes)
@@ -65,6 +52,8 @@
             combined.deployment_changed || effect.deployment_changed;
         combined.routers_changed =
             combined.routers_changed || effect.routers_changed;
+        if (effect.order_ignored)
+            count(state.telemetry_sink, counter::rollout_orders_ignored);
         if (!effect.log_text.empty())
             log(state.telemetry_sink, log_severity::info, "discovery",
                 fmt::format("{} revision={}", effect.log_text, change.changed));
@@ -269,6 +258,32 @@
 
 } // namespace
 
+duration backoff_delay(store_state& state, std::uint32_t failures)
+{
+    auto const doublings = std::clamp(failures, 1U, 6U) - 1;
+    auto const backoff =
+        std::min(state.options.initial_backoff * (1U << doublings),
+                 state.options.max_backoff);
+    std::uniform_int_distribution<std::int64_t> jittered{backoff.count() / 2,
+                                                         backoff.count()};
+    return duration{jittered(state.random)};
+}
+
+void publish_effect(store_state& state,
+                    decisions::discovery_effect const& effect)
+{
+    if (!effect.log_text.empty())
+        log(state.telemetry_sink, log_severity::info, "discovery",
+            effect.log_text);
+    if (effect.deployment_changed)
+    {
+        publish_deployment(state);
+        update_rollouts(state);
+    }
+    if (effect.routers_changed)
+        publish_routers(state);
+}
+
 group_sync& sync_of(store_state& state, record_group group)
 {
     return state.syncs.at(static_cast<std::size_t>(group));
@@ -332,16 +347,9 @@
         log(state.telemetry_sink, log_severity::warning, "dependency_lost",
             "dependency=store");
     }
-    auto const doublings = std::min(sync.failures, 6U) - 1;
-    auto const backoff =
-        std::min(state.options.initial_backoff * (1U << doublings),
-                 state.options.max_backoff);
-    // Half of the backoff is random, so that routers do not retry in step.
-    std::uniform_int_distribution<std::int64_t> jittered{backoff.count() / 2,
-                                                         backoff.count()};
     // Only the page that failed is requested again; earlier pages are kept.
     schedule_request(sync,
-                     current_time(state) + duration{jittered(state.random)});
+                     current_time(state) + backoff_delay(state, sync.failures));
 }
 
 void handle_sync_response(store_state& state, group_sync& sync)
--- a/source/services/store/store_parts.hpp
+++ b/source/services/store/store_parts.hpp
@@ -8,6 +8,10 @@
 
 constexpr int status_ok = 200;
 constexpr int status_unknown_lease = 404;
+constexpr int status_unknown_key = 404;
+constexpr int status_condition_failed = 412;
+constexpr int status_too_many_calls = 429;
+constexpr int status_unavailable = 503;
 constexpr int status_history_gone = 410;
 
 time_point current_time(store_state const& state);
@@ -16,6 +20,15 @@
 std::uint64_t send_request(store_state& state, store_request request,
                            duration timeout);
 
+/// Returns the delay before the next attempt after so many consecutive
+/// failures. It doubles with each failure; half of it is random, so that
+/// routers do not retry in step.
+duration backoff_delay(store_state& state, std::uint32_t failures);
+
+/// Logs an effect and publishes what it touched.
+void publish_effect(store_state& state,
+                    decisions::discovery_effect const& effect);
+
 group_sync& sync_of(store_state& state, record_group group);
 
 /// Requests the next page of the group's list, or the next watch once the list
@@ -50,6 +63,27 @@
 /// have not been listed again in time.
 void remove_expired_servers(store_state& state);
 
+/// Returns the rollout that sent a request, or nullptr.
+rollout_sync* find_rollout(store_state& state, std::uint64_t request_id);
+
+/// Follows the orders in force: begins to read the status of a new one, and
+/// drops the decision and the request of one that was replaced or withdrawn.
+void update_rollouts(store_state& state);
+
+/// Sends the reads and writes of statuses that are due.
+void send_due_rollout_calls(store_state& state);
+
+/// Stores a decision on a rollout unless its order is no longer in force.
+/// Reports what is stored if nothing has to be written.
+void apply_decision(store_state& state, rollout_decision const& decision);
+
+/// Handles the complete response to a read or write of a status.
+void handle_rollout_response(store_state& state, rollout_sync& sync);
+
+/// Handles a read or write of a status that got no response.
+void handle_rollout_failure(store_state& state, rollout_sync& sync,
+                            std::string const& reason);
+
 /// Requests a lease or its renewal if that is due and no such request is in
 /// flight.
 void send_due_lease_request(store_state& state);
--- a/source/services/store/store_service.cpp
+++ b/source/services/store/store_service.cpp
@@ -32,6 +32,8 @@
 {
     if (auto* const sync = find_sync(state, id))
         return &sync->request;
+    if (auto* const rollout = find_rollout(state, id))
+        return &rollout->request;
     return state.lease_request.id == id ? &state.lease_request : nullptr;
 }
 
@@ -52,6 +54,8 @@
 {
     if (auto* const sync = find_sync(state, end.id))
         handle_sync_response(state, *sync);
+    else if (auto* const rollout = find_rollout(state, end.id))
+        handle_rollout_response(state, *rollout);
     else
         handle_lease_response(state);
 }
@@ -61,8 +65,11 @@
 {
     auto const reason = describe(failed.cause);
     auto* const sync = find_sync(state, failed.id);
+    auto* const rollout = find_rollout(state, failed.id);
     request = {};
-    if (sync)
+    if (rollout)
+        handle_rollout_failure(state, *rollout, reason);
+    else if (sync)
         handle_sync_failure(state, *sync, reason);
     else if (state.registration != registration_stage::revoking_lease)
         handle_lease_failure(state, reason);
@@ -97,7 +104,11 @@
     std::visit([&](auto const& e) { handle_event(state, *request, e); }, event);
 }
 
-void handle_message(store_state&, context&, rollout_decision const&) {}
+void handle_message(store_state& state, context&,
+                    rollout_decision const& decision)
+{
+    apply_decision(state, decision);
+}
 
 void handle_message(store_state& state, context& ctx, store_tick)
 {
@@ -105,6 +116,7 @@
     remove_expired_servers(state);
     send_due_sync_requests(state);
     send_due_lease_request(state);
+    send_due_rollout_calls(state);
     flush(state.telemetry_sink);
 }
 
--- a/source/services/store/store_service.hpp
+++ b/source/services/store/store_service.hpp
@@ -4,6 +4,7 @@
 
 #include "decisions/catch_up.hpp"
 #include "decisions/discovery.hpp"
+#include "decisions/status_record.hpp"
 #include "http/client.hpp"
 #include "kernel/service.hpp"
 #include "services/messages/front.hpp"
@@ -15,6 +16,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <random>
 #include <set>
 #include <string>
@@ -161,6 +163,16 @@
     std::uint64_t state_bytes = 0;     ///< Size of the last complete list.
 };
 
+/// The stored status of a rollout whose order is in force.
+struct rollout_sync
+{
+    decisions::status_record record;
+    pending_request request;
+    /// When the last request was sent or, before the first one, the order was
+    /// first seen.
+    time_point requested_at{};
+};
+
 struct store_state
 {
     store_options options;
@@ -190,6 +202,8 @@
     std::uint64_t lease = 0;         ///< 0 until a lease has been granted.
     time_point next_lease_request{}; ///< When the next request is due.
     bool draining = false;
+
+    std::map<service_id, rollout_sync> rollouts; ///< Orders in force.
 };
 
 using store_service = kernel::service<store_state, store_message>;
--- a/tests/unit/services/store/store_fixture.hpp
+++ b/tests/unit/services/store/store_fixture.hpp
@@ -37,6 +37,21 @@
     return decoded_responses().at(std::stoul(std::string{body}));
 }
 
+/// Stored statuses; the body of a fake response is an index into them.
+inline std::vector<decisions::stored_status>& decoded_statuses()
+{
+    static std::vector<decisions::stored_status> statuses;
+    return statuses;
+}
+
+/// Fails for a body that is no index, as for a malformed response.
+inline result<decisions::stored_status> fake_status(std::string_view body)
+{
+    if (body.empty() || body[0] < '0' || body[0] > '9')
+        return fail(error_kind::platform_unavailable, "malformed");
+    return decoded_statuses().at(std::stoul(std::string{body}));
+}
+
 inline store_request fake_request(std::string target)
 {
     return {.method = "GET", .target = std::move(target)};
@@ -59,6 +74,11 @@
     case record_group::routers:
         return decisions::listed_router{{name}, {"10.0.0.9", 7340}};
     case record_group::rules:
+        if (name.starts_with("rollout-"))
+            return config::rollout_order{
+                .service = {name.substr(name.find('-') + 1)},
+                .to_version = "v2",
+                .length = 12s};
         break;
     }
     return decisions::domain_taken_out{{name}};
@@ -94,7 +114,20 @@
         .encode_registration =
             [](decisions::listed_router const&, std::uint64_t)
         { return fake_request("register"); },
-        .decode_removed_key = fake_record};
+        .decode_removed_key = fake_record,
+        .encode_status_read = [](service_id const& service)
+        { return fake_request("read " + service.value); },
+        .decode_status_read = fake_status,
+        .encode_status_write =
+            [](config::rollout_status const& status, revision expected)
+        {
+            return fake_request(fmt::format(
+                "write {} {} {} {} if {}", status.service.value, status.order,
+                status.to_version, to_name(status.state), expected));
+        },
+        .decode_status_write = [](std::string_view body) -> result<revision>
+        { return std::stoull(std::string{body}); },
+        .decode_status_conflict = fake_status};
 }
 
 struct store_fixture
@@ -112,6 +145,7 @@
     store_fixture()
     {
         decoded_responses().clear();
+        decoded_statuses().clear();
         store = runtime.add(make_store_service(
             {.codec = fake_codec(),
              .self = {{"r1"}, {"10.0.0.1", 7340}},
@@ -162,6 +196,26 @@
         runtime.run_until_idle();
     }
 
+    /// Delivers a complete response with this body.
+    void respond_text(std::string_view prefix, int status, std::string body)
+    {
+        auto const id = last(prefix).id;
+        deliver_event(http::response_head{.id = id, .status = status});
+        deliver_event(http::response_bytes{id, std::move(body)});
+        deliver_event(http::response_end{id});
+        runtime.run_until_idle();
+    }
+
+    /// Responds with the status that the store holds: to a read (200), or to a
+    /// write whose condition did not hold (412).
+    void respond_stored(std::string_view prefix, int status,
+                        decisions::stored_status stored)
+    {
+        decoded_statuses().push_back(std::move(stored));
+        respond_text(prefix, status,
+                     std::to_string(decoded_statuses().size() - 1));
+    }
+
     /// Delivers the head of a response to the latest request whose target
     /// starts with `prefix`.
     void begin_response(std::string_view prefix, std::uint64_t length)
