Show rollouts on the status page and in bramleyctl status

Cause: operators could not see the state of a rollout. Change: the store service lists rollouts, servers by version and waiting orders; the status page of a router with a store asks the services that it has, so it no longer waits for those it lacks; bramleyctl status prints a line for each rollout and router, with the routing service's figures where it states them.

--- a/source/control/fleet_status.cpp
+++ b/source/control/fleet_status.cpp
@@ -59,6 +59,61 @@
             .config = value_of(from, "config", revision{0})};
 }
 
+std::optional<version_figures> read_figures(json const& from, char const* name)
+{
+    auto const figures = part_of(from, name);
+    if (!figures.is_object())
+        return std::nullopt;
+    return version_figures{.sent = value_of(figures, "sent", std::uint64_t{0}),
+                           .failed =
+                               value_of(figures, "failed", std::uint64_t{0}),
+                           .slow = value_of(figures, "slow", std::uint64_t{0})};
+}
+
+rollout_view read_rollout(json const& from)
+{
+    return {.service = {value_of(from, "service", std::string{})},
+            .order = value_of(from, "order", revision{0}),
+            .to_version = value_of(from, "to", std::string{}),
+            .state = value_of(from, "state", std::string{}),
+            .stored = value_of(from, "status_revision", revision{0}),
+            .decided = value_of(from, "decided", std::string{})};
+}
+
+/// Adds the share and figures that the routing service states to the rollout of
+/// the same order.
+void add_figures(std::vector<rollout_view>& rollouts, json const& from)
+{
+    auto const routed = read_rollout(from);
+    auto const found = std::find_if(rollouts.begin(), rollouts.end(),
+                                    [&](rollout_view const& r) {
+                                        return r.service == routed.service &&
+                                               r.order == routed.order;
+                                    });
+    if (found == rollouts.end())
+        return;
+    if (from.is_object() && from.contains("share"))
+        found->share = value_of(from, "share", 0.0);
+    found->old_version = read_figures(from, "old");
+    found->new_version = read_figures(from, "new");
+}
+
+std::vector<rollout_view> read_rollouts(json const& services)
+{
+    auto const store = part_of(services, "store");
+    std::vector<rollout_view> rollouts;
+    for (auto const& r : part_of(store, "rollouts"))
+        rollouts.push_back(read_rollout(r));
+    for (auto const& r : part_of(part_of(services, "routing"), "rollouts"))
+        add_figures(rollouts, r);
+    for (auto const& r : part_of(store, "orders_out_of_force"))
+    {
+        rollouts.push_back(read_rollout(r));
+        rollouts.back().in_force = false;
+    }
+    return rollouts;
+}
+
 double relative_load(owned_server_status const& s)
 {
     return static_cast<double>(s.in_flight) / static_cast<double>(s.capacity);
@@ -155,6 +210,39 @@
     return text;
 }
 
+std::string figures_text(std::optional<version_figures> const& figures)
+{
+    return figures ? fmt::format("{}/{}/{}", figures->sent, figures->failed,
+                                 figures->slow)
+                   : std::string{"-"};
+}
+
+/// One line per rollout and router, or nothing if there are no rollouts.
+std::string rollout_lines(fleet_status const& fleet)
+{
+    std::string lines;
+    for (auto const& router : fleet.routers)
+    {
+        for (auto const& r : router.rollouts)
+            lines += fmt::format(
+                "{:<20} {:>9} {:<12} {:<12} {:>9} {:<12} {:<16} {:>6} {:>20} "
+                "{:>20}\n",
+                r.service.value, r.order, r.to_version,
+                r.in_force ? r.state : "out of force", r.stored,
+                r.decided.empty() ? "-" : r.decided, router.id.value,
+                r.share ? fmt::format("{:.2f}", *r.share) : std::string{"-"},
+                figures_text(r.old_version), figures_text(r.new_version));
+    }
+    if (lines.empty())
+        return {};
+    return fmt::format("\n{:<20} {:>9} {:<12} {:<12} {:>9} {:<12} {:<16} {:>6} "
+                       "{:>20} {:>20}\n",
+                       "rollout", "order", "to", "state", "revision", "decided",
+                       "router", "share", "old sent/failed/slow",
+                       "new sent/failed/slow") +
+           lines;
+}
+
 } // namespace
 
 std::optional<router_status> read_status(endpoint const& admin,
@@ -179,6 +267,7 @@
         if (value_of(s, "owned", true))
             status.servers.push_back(read_server(s));
     }
+    status.rollouts = read_rollouts(services);
     return status;
 }
 
@@ -205,7 +294,8 @@
 
 std::string to_screen(fleet_status const& fleet)
 {
-    return router_lines(fleet) + member_lines(fleet) + server_lines(fleet);
+    return router_lines(fleet) + member_lines(fleet) + server_lines(fleet) +
+           rollout_lines(fleet);
 }
 
 } // namespace bramleyarch::control
--- a/source/control/fleet_status.hpp
+++ b/source/control/fleet_status.hpp
@@ -35,6 +35,31 @@
     revision config = 0;
 };
 
+/// Requests that one version of a service got in a rollout, as a router states
+/// them.
+struct version_figures
+{
+    std::uint64_t sent = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t slow = 0;
+};
+
+/// A rollout as a router sees it.
+struct rollout_view
+{
+    service_id service;
+    revision order = 0;
+    std::string to_version;
+    std::string state;
+    revision stored = 0;  ///< Revision of the stored status; 0: none is known.
+    std::string decided;  ///< State that the router wants to store, or empty.
+    bool in_force = true; ///< False if the rules do not name the service.
+    /// Present if the router routes requests by this order.
+    std::optional<double> share; ///< Of the new version, 0 to 1.
+    std::optional<version_figures> old_version;
+    std::optional<version_figures> new_version;
+};
+
 /// What one router answered.
 struct router_status
 {
@@ -47,6 +72,7 @@
     std::optional<double> control_bytes_per_second;
     std::vector<member_status> members;
     std::vector<owned_server_status> servers;
+    std::vector<rollout_view> rollouts;
 };
 
 /// A router that gave no status, and why.
@@ -70,7 +96,7 @@
 std::optional<double> read_control_bytes(std::string_view metrics);
 
 /// The screen: routers, members, owners with load over the mean of their
-/// service, and what did not answer.
+/// service, rollouts, and what did not answer.
 std::string to_screen(fleet_status const& fleet);
 
 } // namespace bramleyarch::control
--- a/source/services/admin/pages.cpp
+++ b/source/services/admin/pages.cpp
@@ -7,8 +7,10 @@
 #include "services/messages/members.hpp"
 #include "services/messages/names.hpp"
 #include "services/messages/owner.hpp"
+#include "services/messages/peers.hpp"
 #include "services/messages/platform.hpp"
 #include "services/messages/routing.hpp"
+#include "services/messages/store.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -75,6 +77,13 @@
     using n = service_name;
     ask_status<front_message>(state, pending, exchange, n::front);
     ask_status<routing_message>(state, pending, exchange, n::routing);
+    if (state.serves_deployment)
+    {
+        ask_status<backend_message>(state, pending, exchange, n::backend);
+        ask_status<store_message>(state, pending, exchange, n::store);
+        ask_status<peers_message>(state, pending, exchange, n::peers);
+        return;
+    }
     ask_status<owner_message>(state, pending, exchange, n::owner);
     ask_status<backend_message>(state, pending, exchange, n::backend);
     ask_status<link_message>(state, pending, exchange, n::link);
--- a/source/services/store/store_parts.hpp
+++ b/source/services/store/store_parts.hpp
@@ -96,6 +96,9 @@
 /// lease. A failed renewal also restarts the watches.
 void handle_lease_failure(store_state& state, std::string const& reason);
 
+/// Returns the service's part of the operators' status page, a JSON object.
+std::string status_json(store_state& state);
+
 /// Revokes the lease, so that other routers need not wait for it to expire, and
 /// ends the registration for good.
 void deregister_router(store_state& state);
--- a/source/services/store/store_service.cpp
+++ b/source/services/store/store_service.cpp
@@ -3,7 +3,6 @@
 #include "services/messages/names.hpp"
 #include "services/store/store_parts.hpp"
 
-#include <fmt/format.h>
 #include <thread>
 #include <utility>
 
@@ -133,16 +132,7 @@
 
 void handle_message(store_state& state, context&, status_query const& query)
 {
-    auto const& rules = sync_of(state, record_group::rules);
-    auto const& servers = sync_of(state, record_group::servers);
-    query.reply(fmt::format(
-        R"({{"rules":{{"stage":"{}","as_of":{}}},)"
-        R"("servers":{{"stage":"{}","as_of":{},"listed":{}}},)"
-        R"("away":{},"listing":"{}","routers":{}}})",
-        to_name(rules.stage), rules.synced_to, to_name(servers.stage),
-        servers.synced_to, state.discovery.deployment.servers.size(),
-        state.discovery.store_unavailable, to_name(state.registration),
-        state.discovery.routers.size()));
+    query.reply(status_json(state));
 }
 
 void start(store_state& state, context& ctx)
--- a/tests/unit/control/fleet_status_test.cpp
+++ b/tests/unit/control/fleet_status_test.cpp
@@ -52,11 +52,37 @@
     for (auto const* odd :
          {"{}", R"({"services": {"owner": 4}})",
           R"({"services": {"owner": {"servers": "x"}}})",
+          R"({"services": {"store": {"rollouts": [1, {"share": "x"}]}}})",
+          R"({"services": {"routing": {"rollouts": {"a": 1}}}})",
           R"({"services": {"members": {"members": [1, null]}}})",
           R"({"config_version": "x", "router": 5})"})
         BOOST_TEST(read_status({"10.0.0.1", 1}, odd).has_value(), odd);
 }
 
+BOOST_AUTO_TEST_CASE(rollouts_are_shown_with_the_figures_of_both_versions)
+{
+    auto const status = read_status({"10.0.0.1", 1}, R"({"router": "r1",
+"services": {"store": {"rollouts": [
+  {"service": "desk", "order": 11, "to": "v2", "state": "rolled_back",
+   "status_revision": 14, "decided": "rolled_back"},
+  {"service": "chat", "order": 12, "to": "v7", "state": "running"}],
+ "orders_out_of_force": [{"service": "gone", "order": 13, "to": "v3"}]},
+"routing": {"rollouts": [
+  {"service": "desk", "order": 11, "share": 0.05,
+   "old": {"sent": 900, "failed": 1, "slow": 2},
+   "new": {"sent": 51, "failed": 48, "slow": 3}},
+  {"service": "desk", "order": 9, "share": 1}, 7]}}})");
+    BOOST_TEST_REQUIRE(status.has_value());
+    BOOST_TEST_REQUIRE(status->rollouts.size() == 3U);
+    BOOST_TEST(status->rollouts[0].new_version->failed == 48U);
+    BOOST_TEST(!status->rollouts[1].share.has_value());
+    auto const screen = to_screen({.routers = {*status}});
+    for (auto const* part :
+         {"rolled_back", "900/1/2", "51/48/3", "0.05", "v7", "out of force"})
+        BOOST_TEST(contains(screen, part), part);
+    BOOST_TEST(!contains(to_screen({}), "rollout"));
+}
+
 BOOST_AUTO_TEST_CASE(screen_shows_routers_members_loads_and_silence)
 {
     auto status = read_status({"10.0.0.1", 1}, page);
--- a/tests/unit/services/admin/admin_test.cpp
+++ b/tests/unit/services/admin/admin_test.cpp
@@ -141,6 +141,23 @@
         (std::find(missing.begin(), missing.end(), "owner") == missing.end()));
 }
 
+// Guards against a page that waits for services which a router that admits
+// requests itself does not have.
+BOOST_AUTO_TEST_CASE(status_of_a_router_with_a_store_asks_its_services)
+{
+    config::deployment deployment;
+    deployment.rules = std::make_shared<config::routing_rules const>();
+    send(admin, deployment_changed{std::make_shared<config::deployment const>(
+                    std::move(deployment))});
+    auto const answer = ask("GET", "/status");
+    auto const status =
+        nlohmann::json::parse(answer.substr(answer.find("\r\n\r\n")));
+    auto const missing = status["missing"].get<std::vector<std::string>>();
+    std::vector<std::string> const expected{"front", "routing", "backend",
+                                            "store", "peers"};
+    BOOST_TEST(missing == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(pages_of_one_service)
 {
     expect("/metrics", "200", "requests_received_total 4\n");
