--- a/source/decisions/peer_heartbeat.hpp
+++ b/source/decisions/peer_heartbeat.hpp
@@ -85,6 +85,12 @@
     std::uint32_t answered = 0; ///< Good answers, slow ones included.
     std::uint32_t failed = 0;
     std::uint32_t slow = 0;
+    /// Answers whose time to the first byte was compared, that is, without
+    /// those of cold servers and of empty caches, and the sum of these times.
+    std::uint32_t timed = 0;
+    std::uint32_t waited_ms = 0;
+
+    bool operator==(version_counts const&) const = default;
 };
 
 /// What a router knows of a rollout. In a heartbeat to another failure domain:
@@ -94,6 +100,9 @@
     std::uint64_t service = 0; ///< `name_hash` of the service's id.
     revision order = 0;        ///< Revision of the order.
     config::rollout_state state = config::rollout_state::running;
+    /// Time since the order was seen first, by the sender or by a router that
+    /// it heard from. A router that starts learns the deadline from it.
+    std::uint32_t age_ms = 0;
     std::vector<version_counts> counts;
 };
 
--- a/source/wire/peer_heartbeats.cpp
+++ b/source/wire/peer_heartbeats.cpp
@@ -45,13 +45,14 @@
 void serialize(Archive& archive, version_counts& counts)
 {
     archive(counts.route, counts.new_version, counts.sent, counts.answered,
-            counts.failed, counts.slow);
+            counts.failed, counts.slow, counts.timed, counts.waited_ms);
 }
 
 template <class Archive>
 void serialize(Archive& archive, rollout_evidence& evidence)
 {
-    archive(evidence.service, evidence.order, evidence.state, evidence.counts);
+    archive(evidence.service, evidence.order, evidence.state, evidence.age_ms,
+            evidence.counts);
 }
 
 template <class Archive>
