Route requests by the steps of a rollout

An order of a rollout was ignored by the routing side. The entry service now keeps requests off versions that no order in force allows, sends a share of them to the new version, counts what its attempts show, tells the other routers, and sends decisions to the store service. Limits are settings of [shared]. Services without an order are served as before.

With 240 requests in all, versions that turn bad late, that are bad on one route or that are worse than an error-prone one are not checked, because too few of their bad answers are known at the decision.

--- a/source/common/counters.hpp
+++ b/source/common/counters.hpp
@@ -96,6 +96,9 @@
     orders_sent,
     orders_refused,
     events_dropped,
+    rollouts_started,
+    rollout_versions_bad,
+    rollout_decisions,
 };
 
 constexpr auto enum_names(counter)
@@ -184,6 +187,9 @@
         row{c::orders_sent, "orders_sent"},
         row{c::orders_refused, "orders_refused"},
         row{c::events_dropped, "events_dropped"},
+        row{c::rollouts_started, "rollouts_started"},
+        row{c::rollout_versions_bad, "rollout_versions_bad"},
+        row{c::rollout_decisions, "rollout_decisions"},
     };
 }
 
--- a/source/config/settings.cpp
+++ b/source/config/settings.cpp
@@ -224,7 +224,10 @@
             .stop_limit = seconds("stop_limit_s"),
             .load_factor = decimal("load_factor"),
             .leaving_limit = milliseconds("leaving_limit_ms"),
-            .rules_limit = milliseconds("rules_limit_ms")};
+            .rules_limit = milliseconds("rules_limit_ms"),
+            .exposure_share = decimal("exposure_share"),
+            .exposure_slack = decimal("exposure_slack"),
+            .rollback_limit = milliseconds("rollback_ms")};
 }
 
 settings settings_of(reading const& r)
--- a/source/config/settings.hpp
+++ b/source/config/settings.hpp
@@ -119,6 +119,12 @@
     double load_factor = 0;   ///< Times the mean load that a server may have.
     duration leaving_limit{}; ///< From a leave until no request follows it.
     duration rules_limit{};   ///< From new rules until they are in force.
+    /// What a bad version may get until its rollout's deadline: a share of the
+    /// requests to its service, and requests beyond that.
+    double exposure_share = 0;
+    double exposure_slack = 0;
+    /// From the 50th bad answer of a version until it gets no more requests.
+    duration rollback_limit{};
 };
 
 /// All settings; one member per section of the file.
--- a/source/decisions/rollout.cpp
+++ b/source/decisions/rollout.cpp
@@ -40,8 +40,7 @@
 {
     bool const is_whole = state.step == rollout_step::full &&
                           at - state.step_since >= state.options.min_full;
-    return age(state, at) >=
-               decision_time(state.length, state.options.plan) ||
+    return age(state, at) >= decision_time(state.length, state.options.plan) ||
            (is_whole &&
             is_limit_reached(totals_of(state, at), state.options.plan));
 }
@@ -144,8 +143,8 @@
                     std::vector<router_id> const& others,
                     service_id const& service)
 {
-    state.routers = std::max(state.routers,
-                             static_cast<std::uint32_t>(others.size() + 1));
+    state.routers =
+        std::max(state.routers, static_cast<std::uint32_t>(others.size() + 1));
     state.position = rounding_position(self, others);
     state.rank = writer_rank(self, others, service, state.order);
 }
@@ -162,9 +161,8 @@
     if (evidence.order != state.order)
         return;
     apply_evidence(state.book, own_domain, heartbeat, evidence.counts, at);
-    state.started_at =
-        std::min(state.started_at,
-                 at - std::chrono::milliseconds{evidence.age_ms});
+    state.started_at = std::min(
+        state.started_at, at - std::chrono::milliseconds{evidence.age_ms});
     if (evidence.state != rollout_state::running)
         apply_stored_state(state, evidence.state, at);
 }
@@ -195,9 +193,8 @@
         state.many_bad_since = at;
     if (!state.finding)
     {
-        state.finding =
-            find_badness(state.book, state.sum, at, urgency(state, at),
-                         state.options.verdict);
+        state.finding = find_badness(state.book, state.sum, at,
+                                     urgency(state, at), state.options.verdict);
         result.found_bad = state.finding.has_value();
     }
     decide(state, surroundings, at);
@@ -239,13 +236,12 @@
         routes += side.second ? 0 : 1;
         of_route += side.first == route ? counts.sent : 0;
     }
-    return draw <
-           route_weight(of_route, static_cast<double>(own_all), routes);
+    return draw < route_weight(of_route, static_cast<double>(own_all), routes);
 }
 
-bool allows_old_version(rollout const& state)
+bool is_decided(rollout const& state)
 {
-    return state.stored != rollout_state::succeeded;
+    return is_final(state.stored);
 }
 
 duration slow_after(rollout const& state, std::uint64_t route, duration target)
@@ -259,13 +255,11 @@
 {
     auto const tested = total_of(state.sum, true);
     auto const old = total_of(state.sum, false);
-    auto const recent =
-        counts_since(state.book, state.sum, rate_period, at);
+    auto const recent = counts_since(state.book, state.sum, rate_period, at);
     auto const recent_sent =
         total_of(recent, true).sent + total_of(recent, false).sent;
-    std::chrono::duration<double> const passed =
-        std::clamp<duration>(age(state, at), std::chrono::milliseconds{250},
-                             rate_period);
+    std::chrono::duration<double> const passed = std::clamp<duration>(
+        age(state, at), std::chrono::milliseconds{250}, rate_period);
     return {.all = static_cast<double>(tested.sent) + old.sent,
             .new_version = static_cast<double>(tested.sent),
             .per_second = recent_sent / passed.count()};
@@ -279,8 +273,10 @@
             .state = state.stored.value_or(rollout_state::running),
             .age_ms = static_cast<std::uint32_t>(
                 std::max<std::int64_t>(to_ms(age(state, at)), 0)),
-            .counts = to_list(of_domain ? domain_evidence(state.book)
-                                        : state.book.own)};
+            .counts = is_decided(state)
+                          ? std::vector<version_counts>{}
+                          : to_list(of_domain ? domain_evidence(state.book)
+                                              : state.book.own)};
 }
 
 } // namespace bramleyarch::decisions
--- a/source/decisions/rollout.hpp
+++ b/source/decisions/rollout.hpp
@@ -50,7 +50,7 @@
     rollout_options options;
     revision order = 0;
     duration length{};
-    time_point started_at{}; ///< When a router saw the order first.
+    time_point started_at{};   ///< When a router saw the order first.
     std::uint32_t routers = 1; ///< Largest number that was known.
     double position = 0;       ///< See `rounding_position`.
     std::size_t rank = 0;      ///< See `writer_rank`.
@@ -110,9 +110,8 @@
 bool prefers_new_version(rollout const& state, std::uint64_t route, double draw,
                          time_point at);
 
-/// Returns whether the old version may be used instead when no server of the
-/// new one can be.
-bool allows_old_version(rollout const& state);
+/// Returns whether the store holds a final state.
+bool is_decided(rollout const& state);
 
 /// Returns the time to the first byte from which on an answer of the route is
 /// slow. `target` is the route's objective.
--- a/source/decisions/rollout_evidence.cpp
+++ b/source/decisions/rollout_evidence.cpp
@@ -12,9 +12,9 @@
 using count_member = std::uint32_t version_counts::*;
 
 constexpr std::array<count_member, 6> count_members{
-    &version_counts::sent,   &version_counts::answered, &version_counts::failed,
-    &version_counts::slow,   &version_counts::timed,
-    &version_counts::waited_ms};
+    &version_counts::sent,   &version_counts::answered,
+    &version_counts::failed, &version_counts::slow,
+    &version_counts::timed,  &version_counts::waited_ms};
 
 version_counts& at_side(rollout_evidence_book& book, route_side side)
 {
@@ -95,8 +95,8 @@
 {
     auto& counts = at_side(book, side);
     ++counts.timed;
-    counts.waited_ms += static_cast<std::uint32_t>(
-        std::max<std::int64_t>(to_ms(waited), 0));
+    counts.waited_ms +=
+        static_cast<std::uint32_t>(std::max<std::int64_t>(to_ms(waited), 0));
 }
 
 void apply_evidence(rollout_evidence_book& book, domain_id const& own_domain,
@@ -150,10 +150,9 @@
                           time_point at)
 {
     auto const& kept = book.snapshots;
-    auto const begin =
-        std::find_if(kept.rbegin(), kept.rend(),
-                     [&](evidence_snapshot const& snapshot)
-                     { return at - snapshot.at >= period; });
+    auto const begin = std::find_if(kept.rbegin(), kept.rend(),
+                                    [&](evidence_snapshot const& snapshot)
+                                    { return at - snapshot.at >= period; });
     if (begin == kept.rend())
         return sum;
     auto recent = sum;
@@ -163,8 +162,7 @@
         if (earlier == begin->counts.end())
             continue;
         for (auto const member : count_members)
-            counts.*member -=
-                std::min(counts.*member, earlier->second.*member);
+            counts.*member -= std::min(counts.*member, earlier->second.*member);
     }
     return recent;
 }
--- a/source/decisions/rollout_plan.cpp
+++ b/source/decisions/rollout_plan.cpp
@@ -39,9 +39,8 @@
 
 duration decision_time(duration length, rollout_plan_options const& options)
 {
-    auto const margin =
-        std::min(seconds{options.write_margin},
-                 seconds{length} * options.max_margin_fraction);
+    auto const margin = std::min(seconds{options.write_margin},
+                                 seconds{length} * options.max_margin_fraction);
     return length - std::chrono::duration_cast<duration>(margin);
 }
 
@@ -62,10 +61,10 @@
     auto const until = seconds{decision_time(length, options)}.count();
     auto const passed =
         until > 0 ? std::max(seconds{since}.count() / until, 0.0) : 1;
-    auto const share = std::min(passed < options.probe_fraction
-                                    ? options.probe_share
-                                    : options.canary_share,
-                                usable_share(options));
+    auto const share =
+        std::min(passed < options.probe_fraction ? options.probe_share
+                                                 : options.canary_share,
+                 usable_share(options));
     auto const slack = options.limits.slack * options.canary_slack *
                        std::min(passed / options.slack_fraction, 1.0);
     auto const allowed =
@@ -79,10 +78,9 @@
     auto const left =
         std::max(usable_limit(totals.all, options) - totals.new_version, 0.0);
     auto const rate = totals.per_second * (1 - usable_share(options));
-    auto const longest =
-        std::min(seconds{options.max_full},
-                 seconds{decision_time(length, options)} *
-                     options.max_full_fraction);
+    auto const longest = std::min(seconds{options.max_full},
+                                  seconds{decision_time(length, options)} *
+                                      options.max_full_fraction);
     auto const affordable =
         rate > 0 ? std::min(seconds{left / rate}, longest) : longest;
     return std::chrono::duration_cast<duration>(affordable);
@@ -106,9 +104,10 @@
                         service_id const& service, revision order)
 {
     auto const own = writer_weight(self, service, order);
-    return static_cast<std::size_t>(std::count_if(
-        others.begin(), others.end(), [&](router_id const& other)
-        { return writer_weight(other, service, order) > own; }));
+    return static_cast<std::size_t>(
+        std::count_if(others.begin(), others.end(),
+                      [&](router_id const& other)
+                      { return writer_weight(other, service, order) > own; }));
 }
 
 std::vector<std::uint64_t> canary_servers(std::vector<std::uint64_t> servers,
@@ -123,8 +122,7 @@
               { return mix(a, seed) < mix(b, seed); });
     auto const total = servers.size();
     auto const used = std::clamp(
-        static_cast<std::size_t>(
-            std::ceil(share * static_cast<double>(total))),
+        static_cast<std::size_t>(std::ceil(share * static_cast<double>(total))),
         std::size_t{1}, total);
     auto const turn = static_cast<std::size_t>(
         std::max<std::int64_t>(since / canary_server_time, 0));
--- a/source/decisions/rollout_verdict.cpp
+++ b/source/decisions/rollout_verdict.cpp
@@ -20,7 +20,8 @@
 bad_share share_of(version_counts const& counts, badness cause)
 {
     if (cause == badness::slowness)
-        return {.bad = counts.slow, .answers = std::max(counts.timed, counts.slow)};
+        return {.bad = counts.slow,
+                .answers = std::max(counts.timed, counts.slow)};
     return {.bad = counts.failed, .answers = counts.answered + counts.failed};
 }
 
@@ -54,8 +55,7 @@
         old = share_of(compared.old_since_order, cause);
     auto const margin = cause == badness::slowness ? options.slow_margin
                                                    : options.failure_margin;
-    auto const tolerated =
-        highest_share(old, options.standard_errors) + margin;
+    auto const tolerated = highest_share(old, options.standard_errors) + margin;
     auto const probability =
         probability_of_at_least(tested.bad, tested.answers, tolerated);
     if (probability >= max_probability)
@@ -76,11 +76,10 @@
     return found == counts.end() ? version_counts{} : found->second;
 }
 
-std::optional<bad_finding> compare_period(route_counts const& recent,
-                                          route_counts const& sum,
-                                          duration period,
-                                          double max_probability,
-                                          rollout_verdict_options const& options)
+std::optional<bad_finding>
+compare_period(route_counts const& recent, route_counts const& sum,
+               duration period, double max_probability,
+               rollout_verdict_options const& options)
 {
     std::vector<comparison> comparisons{
         {.period = period,
@@ -101,8 +100,7 @@
     {
         for (auto const cause : {badness::failures, badness::slowness})
         {
-            if (auto found =
-                    compare(compared, cause, max_probability, options))
+            if (auto found = compare(compared, cause, max_probability, options))
                 return found;
         }
     }
@@ -121,10 +119,10 @@
     // by logarithms, the others from it.
     double const count = n;
     double const first = bad;
-    double term = std::exp(std::lgamma(count + 1) - std::lgamma(first + 1) -
-                           std::lgamma(count - first + 1) +
-                           first * std::log(p) +
-                           (count - first) * std::log1p(-p));
+    double term =
+        std::exp(std::lgamma(count + 1) - std::lgamma(first + 1) -
+                 std::lgamma(count - first + 1) + first * std::log(p) +
+                 (count - first) * std::log1p(-p));
     if (first <= count * p)
         return 1; // Not an upper tail; the exact value is not needed.
     double sum = 0;
@@ -153,8 +151,7 @@
     for (auto const period : options.periods)
     {
         auto const recent = counts_since(book, sum, period, at);
-        if (auto found =
-                compare_period(recent, sum, period, recently, options))
+        if (auto found = compare_period(recent, sum, period, recently, options))
             return found;
     }
     auto const tested = total_of(sum, true);
--- a/source/decisions/rollout_verdict.hpp
+++ b/source/decisions/rollout_verdict.hpp
@@ -23,8 +23,8 @@
 {
     using b = badness;
     using row = enum_name<badness>;
-    return std::array{row{b::failures, "failures"}, row{b::slowness, "slowness"},
-                      row{b::silence, "silence"}};
+    return std::array{row{b::failures, "failures"},
+                      row{b::slowness, "slowness"}, row{b::silence, "silence"}};
 }
 
 struct rollout_verdict_options
--- a/source/decisions/rollout_versions.cpp
+++ b/source/decisions/rollout_versions.cpp
@@ -28,11 +28,16 @@
 
 } // namespace
 
+bool is_status_of_order(service_versions const& versions)
+{
+    return versions.order && versions.status &&
+           belongs_to(*versions.status, *versions.order);
+}
+
 rollout_state state_of_order(service_versions const& versions)
 {
-    bool const is_known = versions.order && versions.status &&
-                          belongs_to(*versions.status, *versions.order);
-    return is_known ? versions.status->state : rollout_state::running;
+    return is_status_of_order(versions) ? versions.status->state
+                                        : rollout_state::running;
 }
 
 void apply_order(service_versions& versions,
@@ -41,8 +46,7 @@
     auto const& former = versions.order;
     bool const is_replaced =
         former && (!order || order->changed != former->changed);
-    if (is_replaced &&
-        state_of_order(versions) != rollout_state::succeeded)
+    if (is_replaced && state_of_order(versions) != rollout_state::succeeded)
         versions.barred.insert(former->to_version);
     versions.order = order;
     if (!order)
@@ -81,18 +85,17 @@
 void release_held_versions(service_versions& versions,
                            revision records_revision, time_point at)
 {
-    std::erase_if(
-        versions.held,
-        [&](auto const& entry)
-        {
-            auto const& [version, held] = entry;
-            bool const is_over =
-                records_revision >= held.entry ||
-                at - held.seen_at >= versions.options.max_hold;
-            if (is_over)
-                versions.familiar.insert(version);
-            return is_over;
-        });
+    std::erase_if(versions.held,
+                  [&](auto const& entry)
+                  {
+                      auto const& [version, held] = entry;
+                      bool const is_over =
+                          records_revision >= held.entry ||
+                          at - held.seen_at >= versions.options.max_hold;
+                      if (is_over)
+                          versions.familiar.insert(version);
+                      return is_over;
+                  });
 }
 
 version_use allows_version(service_versions const& versions,
--- a/source/decisions/rollout_versions.hpp
+++ b/source/decisions/rollout_versions.hpp
@@ -65,6 +65,9 @@
 /// it.
 config::rollout_state state_of_order(service_versions const& versions);
 
+/// Returns whether the known status belongs to the order in force.
+bool is_status_of_order(service_versions const& versions);
+
 /// Replaces the order in force, or removes it. The version of an order that
 /// ends without success is barred until an order names it again.
 void apply_order(service_versions& versions,
--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -148,6 +148,7 @@
             fmt::format("request={} attempt={} server={} status={}",
                         to_text(request.routed.id), request.attempt_number,
                         request.current_server.value, head.status));
+        record_rollout_end(state, request, true, now(ctx));
         abort_current_attempt(state, ctx, request);
         send_attempt(state, ctx, request);
         return;
@@ -213,6 +214,7 @@
     bool const was_proven =
         request.attempt_bytes >= state.options.min_proof_bytes;
     request.attempt_bytes += size;
+    record_rollout_first_byte(state, request, now(ctx));
     if (!was_proven && request.attempt_bytes >= state.options.min_proof_bytes)
         record_proof(state, request, now(ctx));
     if (request.stage == request_stage::awaiting_answer &&
@@ -299,6 +301,8 @@
     if (is_stale && !request.tried_servers.empty())
         request.tried_servers.pop_back();
     auto const server_of_attempt = request.current_server;
+    if (!is_stale && !had_no_connection)
+        record_rollout_end(state, request, true, at);
     release_attempt(state, ctx, request);
     if (request.stage == request_stage::forwarding_answer &&
         can_go_on_elsewhere(request))
--- a/source/services/entry/endings.cpp
+++ b/source/services/entry/endings.cpp
@@ -40,6 +40,7 @@
 void release_attempt(entry_state& state, entry_context& ctx,
                      entry_request& request)
 {
+    record_rollout_silence(state, request, now(ctx));
     cancel(ctx, std::exchange(request.silence_timer, 0));
     if (auto* const server = find_current_server(state, request);
         server && server->local_in_flight > 0)
@@ -52,6 +53,7 @@
 {
     auto const at = now(ctx);
     auto const& terms = request.routed.terms;
+    record_rollout_end(state, request, false, at);
     count(state.telemetry_sink, counter::requests_answered);
     sample(state.telemetry_sink, latency_kind::whole_answer,
            at - terms.received);
@@ -84,6 +86,8 @@
                   entry_request& request, error cause, duration retry_after)
 {
     auto const known = failure_outcome(request);
+    if (cause.kind == error_kind::deadline_exceeded)
+        record_rollout_end(state, request, true, now(ctx));
     count(state.telemetry_sink, outcome_counter(known));
     log(state.telemetry_sink, log_severity::info, "request_ended",
         fmt::format("request={} caller_id={} route={} reason={} detail=\"{}\" "
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -50,6 +50,54 @@
 /// Resets the failure count of a server that answered and ends its ejection.
 void record_server_answer(backend_server& server);
 
+/// Takes over orders, statuses and versions from the current deployment.
+void update_rollouts(entry_state& state, time_point at);
+
+/// Takes over the list of routers.
+void update_rollout_routers(entry_state& state);
+
+/// Adds the evidence on rollouts that a heartbeat carries.
+void apply_rollout_evidence(entry_state& state,
+                            decisions::peer_heartbeat const& heartbeat,
+                            time_point at);
+
+/// Adopts the status of a rollout that the store holds.
+void apply_rollout_status(entry_state& state,
+                          config::rollout_status const& status, time_point at);
+
+/// Moves each rollout to its next step, sends decisions to the store service
+/// and adds the evidence to the report.
+void check_rollouts(entry_state& state, local_load_report& report,
+                    time_point at);
+
+/// Chooses whether the next attempt goes to the new version of a rollout.
+void choose_version(entry_state& state, entry_request& request, time_point at);
+
+/// Lets the next attempt go to the old version instead. Returns false if it was
+/// to go there anyway.
+bool leave_new_version(entry_request& request);
+
+/// Returns whether the next attempt may go to the version of the server.
+bool may_run_at(entry_state const& state, entry_request const& request,
+                backend_server const& server);
+
+/// Counts an attempt that is sent now.
+void record_rollout_send(entry_state& state, entry_request& request,
+                         backend_server const& server, time_point at);
+
+/// Counts the time to the first byte of the current attempt's answer.
+void record_rollout_first_byte(entry_state& state, entry_request& request,
+                               time_point at);
+
+/// Counts the end of the current attempt: an answer, unless it has a status of
+/// a server error or `failed` is set.
+void record_rollout_end(entry_state& state, entry_request& request, bool failed,
+                        time_point at);
+
+/// Counts an attempt that ends without an answer as slow if it was.
+void record_rollout_silence(entry_state& state, entry_request& request,
+                            time_point at);
+
 /// Chooses a server and sends the request there. Fails the request, which
 /// removes `request`, if no server can answer it in time.
 void send_attempt(entry_state& state, entry_context& ctx,
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -113,6 +113,7 @@
 {
     state.deployment = std::move(message.deployment);
     update_servers(state, now(ctx));
+    update_rollouts(state, now(ctx));
     confirm_crashes_of_ended_runs(state, ctx);
 }
 
@@ -126,6 +127,7 @@
 {
     decisions::apply_heartbeat(state.remote_loads, state.options.domain,
                                message.heartbeat, now(ctx));
+    apply_rollout_evidence(state, message.heartbeat, now(ctx));
 }
 
 /// Forwards a crash that was not known yet, so that it also reaches routers
@@ -176,6 +178,7 @@
 void handle(entry_state& state, entry_context&, fleet_changed message)
 {
     state.other_routers = std::move(message.others);
+    update_rollout_routers(state);
 }
 
 void handle(entry_state& state, entry_context&,
@@ -232,6 +235,7 @@
         if (domain_in_flight > 0)
             report.domain.push_back({server.hash, domain_in_flight});
     }
+    check_rollouts(state, report, now(ctx));
     send(state.peers_service, std::move(report));
     if (++state.ticks % ticks_per_flush != 0)
         return;
@@ -247,6 +251,12 @@
     flush(state.telemetry_sink);
 }
 
+void handle(entry_state& state, entry_context& ctx,
+            rollout_status_known const& message)
+{
+    apply_rollout_status(state, message.status, now(ctx));
+}
+
 /// Ignores the messages that only occur in fleets whose servers have owners.
 template <class Message>
 void handle(entry_state&, entry_context&, Message const&)
@@ -262,6 +272,8 @@
         ctx.names->find<backend_message>(to_name(service_name::backend));
     state.peers_service =
         ctx.names->find<peers_message>(to_name(service_name::peers));
+    state.store_service =
+        ctx.names->find<store_message>(to_name(service_name::store));
     schedule(ctx, state.options.report_interval, routing_tick{});
 }
 
@@ -291,6 +303,9 @@
     options.cold_share.overage = limits.cold_overage;
     options.cold_share.slack = limits.cold_slack;
     options.server_choice.limit_factor = limits.load_factor;
+    options.exposure = {.share = limits.exposure_share,
+                        .slack = limits.exposure_slack,
+                        .rollback = limits.rollback_limit};
 }
 
 entry_service make_entry_service(entry_options options)
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -17,9 +17,11 @@
 #include "decisions/stop_admission.hpp"
 #include "kernel/service.hpp"
 #include "services/entry/backend_dialect.hpp"
+#include "services/entry/rollout_parts.hpp"
 #include "services/messages/backend.hpp"
 #include "services/messages/peers.hpp"
 #include "services/messages/routing.hpp"
+#include "services/messages/store.hpp"
 #include "services/telemetry/telemetry.hpp"
 
 #include <cstdint>
@@ -53,6 +55,7 @@
     /// beyond this ends as an error.
     std::size_t max_held_bytes = 16U << 20;
     decisions::stop_admission_options stop_admission;
+    decisions::exposure_limits exposure;
     /// Subtracted from the caller's deadline to leave time for returning the
     /// answer.
     duration deadline_margin = std::chrono::milliseconds{20};
@@ -163,6 +166,10 @@
     std::uint64_t attempt_bytes = 0; ///< Of the current attempt's answer.
     std::uint64_t forwarded_chunks = 0;
     std::uint64_t forwarded_bytes = 0;
+    /// The next attempt goes to the new version of a rollout.
+    bool wants_new_version = false;
+    /// Set while the current attempt is evidence on a rollout.
+    std::optional<rollout_attempt> rollout;
     error last_failure{};
     kernel::timer_id deadline_timer = 0;
     kernel::timer_id silence_timer = 0;
@@ -194,9 +201,12 @@
     decisions::crashing_parts crashing_parts;
     std::vector<possible_crash> possible_crashes; ///< Oldest first.
     decisions::server_announcements announcements;
+    service_rollouts rollouts;
+    bool knows_versions = false; ///< Servers have been listed.
     std::vector<router_id> other_routers;
     kernel::address<backend_message> backend;
     kernel::address<peers_message> peers_service;
+    kernel::address<store_message> store_service;
     telemetry telemetry_sink;
     std::mt19937_64 random;
     decisions::answer_times answer_times;
--- a/source/services/entry/rejected_answers.cpp
+++ b/source/services/entry/rejected_answers.cpp
@@ -38,6 +38,7 @@
     {
         request.may_have_run = true;
         count(state.telemetry_sink, counter::answers_foreign);
+        record_rollout_end(state, request, true, now(ctx));
     }
     // The attempt reached another server and ran nowhere, so it does not count
     // towards the attempt limit.
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -128,6 +128,7 @@
 {
     return is_in_use(state, request.routed.service, server) &&
            !was_tried(request, server.listed.id) &&
+           may_run_at(state, request, server) &&
            decisions::remaining_pause(state.announcements, run_of(server),
                                       at) == duration::zero();
 }
@@ -273,6 +274,7 @@
     decisions::begin_continuation(request.cursor);
     ++server.local_in_flight;
     schedule_next_cold_send(state, server, at);
+    record_rollout_send(state, request, server, at);
     auto const resume_after = request.cursor.last_id;
     auto const* const copy_source =
         find_prompt_copy_source(state, request, server);
@@ -385,7 +387,10 @@
     }
     if (request.attempt_number == 0)
         request.routed.service = choose_service(request, *state.deployment);
-    auto const eligible = find_eligible_servers(state, request, at);
+    choose_version(state, request, at);
+    auto eligible = find_eligible_servers(state, request, at);
+    if (eligible.servers.empty() && leave_new_version(request))
+        eligible = find_eligible_servers(state, request, at);
     auto const load = total_load(state, request.routed.service);
     auto const choice =
         decisions::select_server(eligible.candidates, mean_load(load),
@@ -410,6 +415,7 @@
 void abort_current_attempt(entry_state& state, entry_context& ctx,
                            entry_request& request)
 {
+    record_rollout_silence(state, request, now(ctx));
     cancel(ctx, std::exchange(request.silence_timer, 0));
     if (request.attempt_number == 0 || request.current_server.empty())
         return;
--- a/tests/unit/services/entry/fixture.hpp
+++ b/tests/unit/services/entry/fixture.hpp
@@ -90,6 +90,8 @@
     std::shared_ptr<fake_backend> backend = std::make_shared<fake_backend>();
     std::shared_ptr<std::vector<peers_message>> peers =
         add_recorder<peers_message>(test_kernel, service_name::peers);
+    std::shared_ptr<std::vector<store_message>> store =
+        add_recorder<store_message>(test_kernel, service_name::store);
     kernel::address<routing_message> entry;
     std::vector<std::unique_ptr<caller>> callers;
     config::deployment deployment;
