Send less evidence of rollouts in heartbeats

Evidence of four routes took 290 B in each of 64 datagrams a second, which doubled a router's control traffic. Own counts are sent for 2.5 s after they changed and in turn otherwise; sums of a domain are sent whole.

--- a/source/common/counters.hpp
+++ b/source/common/counters.hpp
@@ -97,6 +97,7 @@
     orders_refused,
     events_dropped,
     rollouts_started,
+    rollouts_ignored,
     rollout_versions_bad,
     rollout_decisions,
 };
@@ -188,6 +189,7 @@
         row{c::orders_refused, "orders_refused"},
         row{c::events_dropped, "events_dropped"},
         row{c::rollouts_started, "rollouts_started"},
+        row{c::rollouts_ignored, "rollouts_ignored"},
         row{c::rollout_versions_bad, "rollout_versions_bad"},
         row{c::rollout_decisions, "rollout_decisions"},
     };
--- a/source/decisions/rollout.cpp
+++ b/source/decisions/rollout.cpp
@@ -18,6 +18,47 @@
 /// Own requests below which each one takes a free place at the new version.
 constexpr std::uint32_t min_weighted_requests = 20;
 
+/// Rounds of heartbeats for which counts are sent after they changed. With
+/// 1,000 routers, a round reaches one of nine peers of the domain.
+constexpr std::uint32_t rounds_after_change = 10;
+
+/// Counts that did not change are sent in one of so many rounds, and those of
+/// the old version, which are many and change slowly in proportion, in one of
+/// so many. Neither number shares a factor with the rounds between heartbeats
+/// to the same peer in fleets of usual sizes.
+constexpr std::uint64_t rounds_per_unchanged = 7;
+constexpr std::uint64_t rounds_per_old_counts = 3;
+
+/// Updates which of the own counts have changed.
+void begin_round(rollout& state)
+{
+    ++state.round;
+    for (auto const& [side, counts] : state.book.own)
+    {
+        auto& reported = state.reported[side];
+        reported.unchanged_rounds =
+            reported.counts == counts ? reported.unchanged_rounds + 1 : 0;
+        reported.counts = counts;
+    }
+}
+
+/// Returns the own counts that the heartbeats of this round carry.
+std::vector<version_counts> counts_of_round(rollout const& state)
+{
+    std::vector<version_counts> selected;
+    std::uint64_t turn = state.round;
+    for (auto const& [side, reported] : state.reported)
+    {
+        ++turn;
+        bool const has_changed =
+            reported.unchanged_rounds < rounds_after_change &&
+            (side.second || turn % rounds_per_old_counts == 0);
+        if (has_changed || turn % rounds_per_unchanged == 0)
+            selected.push_back(reported.counts);
+    }
+    return selected;
+}
+
 bool is_final(std::optional<rollout_state> const& stored)
 {
     return stored && *stored != rollout_state::running;
@@ -183,6 +224,7 @@
                     time_point at)
 {
     rollout_check result;
+    begin_round(state);
     state.sum = fleet_evidence(state.book);
     record_snapshot(state.book, state.sum, at);
     if (is_final(state.stored))
@@ -268,15 +310,16 @@
 rollout_evidence make_evidence(rollout const& state, service_id const& service,
                                bool of_domain, time_point at)
 {
-    return {.service = name_hash(service.value),
-            .order = state.order,
-            .state = state.stored.value_or(rollout_state::running),
-            .age_ms = static_cast<std::uint32_t>(
-                std::max<std::int64_t>(to_ms(age(state, at)), 0)),
-            .counts = is_decided(state)
-                          ? std::vector<version_counts>{}
-                          : to_list(of_domain ? domain_evidence(state.book)
-                                              : state.book.own)};
+    rollout_evidence evidence{
+        .service = name_hash(service.value),
+        .order = state.order,
+        .state = state.stored.value_or(rollout_state::running),
+        .age_ms = static_cast<std::uint32_t>(
+            std::max<std::int64_t>(to_ms(age(state, at)), 0))};
+    if (!is_decided(state))
+        evidence.counts = of_domain ? to_list(domain_evidence(state.book))
+                                    : counts_of_round(state);
+    return evidence;
 }
 
 } // namespace bramleyarch::decisions
--- a/source/decisions/rollout.hpp
+++ b/source/decisions/rollout.hpp
@@ -6,6 +6,7 @@
 #include "decisions/rollout_verdict.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -39,6 +40,13 @@
     duration min_slow = std::chrono::milliseconds{20};
 };
 
+/// Own counts as the last heartbeat rounds carried them.
+struct reported_counts
+{
+    version_counts counts;
+    std::uint32_t unchanged_rounds = 0;
+};
+
 /// The servers of the service as this router sees them.
 struct rollout_surroundings
 {
@@ -56,6 +64,8 @@
     std::size_t rank = 0;      ///< See `writer_rank`.
     rollout_evidence_book book;
     route_counts sum; ///< Evidence of all routers at the last check.
+    std::map<route_side, reported_counts> reported;
+    std::uint64_t round = 0; ///< Of heartbeats.
     /// State that the store holds; std::nullopt: none is known.
     std::optional<config::rollout_state> stored;
     rollout_step step = rollout_step::waiting;
@@ -121,6 +131,8 @@
 request_totals totals_of(rollout const& state, time_point at);
 
 /// What this router tells its peers; `of_domain` selects the sum of its domain.
+/// The list of its own counts is shortened: they go to three times as many
+/// peers, each of which hears from it in one of several rounds.
 rollout_evidence make_evidence(rollout const& state, service_id const& service,
                                bool of_domain, time_point at);
 
--- a/source/services/entry/rollout_parts.hpp
+++ b/source/services/entry/rollout_parts.hpp
@@ -20,6 +20,8 @@
 {
     decisions::service_versions versions;
     std::optional<decisions::rollout> rollout;
+    /// Newest order that was ignored, as the rules do not list the service.
+    revision ignored_order = 0;
     /// Hashes of the servers of the new version that get the requests of a
     /// canary.
     std::vector<std::uint64_t> canary;
--- a/source/services/entry/rollouts.cpp
+++ b/source/services/entry/rollouts.cpp
@@ -54,9 +54,8 @@
 }
 
 /// Orders of services that the rules do not list change nothing.
-std::optional<config::rollout_order> order_of(entry_state& state,
-                                              service_id const& service,
-                                              service_rollout const& entry)
+std::optional<config::rollout_order>
+order_of(entry_state& state, service_id const& service, service_rollout& entry)
 {
     auto const& deployment = *state.deployment;
     auto const found = deployment.rollouts.find(service);
@@ -64,6 +63,15 @@
         return std::nullopt;
     if (deployment.rules && deployment.rules->services.contains(service))
         return found->second;
+    if (std::exchange(entry.ignored_order, found->second.changed) !=
+        found->second.changed)
+    {
+        count(state.telemetry_sink, counter::rollouts_ignored);
+        log(state.telemetry_sink, log_severity::warning, "rollout_ignored",
+            fmt::format("service={} to={} order={} reason=unknown_service",
+                        service.value, found->second.to_version,
+                        found->second.changed));
+    }
     return entry.versions.order;
 }
 
