Move streams to the new version before all other requests

Old servers stop at once on success, and streams take seconds to finish. They go to the new version as early as half of what is left of the exposure limit allows.

--- a/source/decisions/rollout.cpp
+++ b/source/decisions/rollout.cpp
@@ -98,6 +98,20 @@
     return is_late ? verdict_urgency::many_bad : verdict_urgency::none;
 }
 
+/// Recent streams per second at both versions.
+double stream_rate(rollout const& state,
+                   rollout_surroundings const& surroundings, time_point at)
+{
+    auto const recent = counts_since(state.book, state.sum, rate_period, at);
+    double sent = 0;
+    for (auto const& [side, counts] : recent)
+    {
+        if (std::ranges::count(surroundings.streams, side.first) > 0)
+            sent += counts.sent;
+    }
+    return sent / std::chrono::duration<double>{rate_period}.count();
+}
+
 rollout_step next_step(rollout const& state,
                        rollout_surroundings const& surroundings, time_point at)
 {
@@ -116,6 +130,11 @@
     if (until - passed <=
         affordable_full_time(totals_of(state, at), state.length, plan))
         return rollout_step::full;
+    auto const stream_time = affordable_stream_time(
+        totals_of(state, at), stream_rate(state, surroundings, at),
+        state.length, plan);
+    if (state.step == rollout_step::streams || until - passed <= stream_time)
+        return rollout_step::streams;
     auto const probe_time = std::chrono::duration_cast<duration>(
         std::chrono::duration<double>{until} * plan.probe_fraction);
     return passed < probe_time ? rollout_step::probe : rollout_step::canary;
@@ -251,15 +270,16 @@
     return result;
 }
 
-bool prefers_new_version(rollout const& state, std::uint64_t route, double draw,
-                         time_point at)
+bool prefers_new_version(rollout const& state, std::uint64_t route,
+                         bool streaming, double draw, time_point at)
 {
     if (state.stored == rollout_state::succeeded)
         return true;
     if (state.step == rollout_step::waiting ||
         state.step == rollout_step::stopped || !is_fresh(state, at))
         return false;
-    if (state.step == rollout_step::full)
+    if (state.step == rollout_step::full ||
+        (state.step == rollout_step::streams && streaming))
         return true;
     auto const own_new = total_of(state.book.own, true);
     auto const own_old = total_of(state.book.own, false);
--- a/source/decisions/rollout.hpp
+++ b/source/decisions/rollout.hpp
@@ -50,7 +50,8 @@
 /// The servers of the service as this router sees them.
 struct rollout_surroundings
 {
-    std::size_t new_servers = 0; ///< Of the new version, in use.
+    std::size_t new_servers = 0;          ///< Of the new version, in use.
+    std::vector<std::uint64_t> streams{}; ///< Hashes of streaming routes.
 };
 
 struct rollout
@@ -115,10 +116,10 @@
 rollout_check check(rollout& state, rollout_surroundings const& surroundings,
                     time_point at);
 
-/// Returns whether a request of the route goes to the new version. `draw` is a
-/// random number in [0, 1).
-bool prefers_new_version(rollout const& state, std::uint64_t route, double draw,
-                         time_point at);
+/// Returns whether a request of the route, or a stream, goes to the new
+/// version. `draw` is a random number in [0, 1).
+bool prefers_new_version(rollout const& state, std::uint64_t route,
+                         bool streaming, double draw, time_point at);
 
 /// Returns whether the store holds a final state.
 bool is_decided(rollout const& state);
--- a/source/decisions/rollout_plan.cpp
+++ b/source/decisions/rollout_plan.cpp
@@ -28,6 +28,14 @@
            options.limits.slack * options.usable_slack;
 }
 
+/// Requests that may still go to the new version.
+double left_of(request_totals const& totals,
+               rollout_plan_options const& options)
+{
+    return std::max(usable_limit(totals.all, options) - totals.new_version,
+                    0.0);
+}
+
 std::uint64_t writer_weight(router_id const& router, service_id const& service,
                             revision order)
 {
@@ -72,11 +80,24 @@
     return static_cast<std::uint64_t>(std::floor(allowed + position));
 }
 
+duration affordable_stream_time(request_totals const& totals,
+                                double streams_per_second, duration length,
+                                rollout_plan_options const& options)
+{
+    auto const longest = std::min(seconds{options.max_full},
+                                  seconds{decision_time(length, options)} *
+                                      options.max_stream_fraction);
+    if (streams_per_second <= 0)
+        return std::chrono::duration_cast<duration>(longest);
+    return std::chrono::duration_cast<duration>(std::min(
+        longest, seconds{options.stream_part * left_of(totals, options) /
+                         streams_per_second}));
+}
+
 duration affordable_full_time(request_totals const& totals, duration length,
                               rollout_plan_options const& options)
 {
-    auto const left =
-        std::max(usable_limit(totals.all, options) - totals.new_version, 0.0);
+    auto const left = left_of(totals, options);
     auto const rate = totals.per_second * (1 - usable_share(options));
     auto const longest = std::min(seconds{options.max_full},
                                   seconds{decision_time(length, options)} *
--- a/source/decisions/rollout_plan.hpp
+++ b/source/decisions/rollout_plan.hpp
@@ -35,6 +35,7 @@
     waiting, ///< No server of the new version is known.
     probe,   ///< A few requests go to the new version.
     canary,  ///< More requests do; no evidence speaks against it.
+    streams, ///< All streams go there too, as they take longest to finish.
     full,    ///< All requests go to the new version.
     stopped, ///< No requests go to the new version.
 };
@@ -44,8 +45,8 @@
     using s = rollout_step;
     using row = enum_name<rollout_step>;
     return std::array{row{s::waiting, "waiting"}, row{s::probe, "probe"},
-                      row{s::canary, "canary"}, row{s::full, "full"},
-                      row{s::stopped, "stopped"}};
+                      row{s::canary, "canary"},   row{s::streams, "streams"},
+                      row{s::full, "full"},       row{s::stopped, "stopped"}};
 }
 
 struct rollout_plan_options
@@ -77,6 +78,11 @@
     /// The same as a fraction of the time to the decision. Most of the time is
     /// left for finding a bad version with few requests.
     double max_full_fraction = 0.3;
+    /// Part of what is left of the limit that streams may take before all
+    /// requests go to the new version, and the fraction of the time to the
+    /// decision that this step takes at most.
+    double stream_part = 0.5;
+    double max_stream_fraction = 0.5;
 };
 
 /// Requests to the service, counted from the order on.
@@ -108,6 +114,12 @@
 duration affordable_full_time(request_totals const& totals, duration length,
                               rollout_plan_options const& options);
 
+/// Returns the time before the decision from which on all streams can go to the
+/// new version. `streams_per_second` is their recent rate.
+duration affordable_stream_time(request_totals const& totals,
+                                double streams_per_second, duration length,
+                                rollout_plan_options const& options);
+
 /// Returns whether the usable part of the limit is spent.
 bool is_limit_reached(request_totals const& totals,
                       rollout_plan_options const& options);
--- a/source/services/entry/rollouts.cpp
+++ b/source/services/entry/rollouts.cpp
@@ -212,7 +212,8 @@
     auto const count = fresh.size();
     auto const& rollout = *entry.rollout;
     entry.canary =
-        rollout.step == decisions::rollout_step::full
+        rollout.step == decisions::rollout_step::full ||
+                rollout.step == decisions::rollout_step::streams
             ? std::move(fresh)
             : decisions::canary_servers(std::move(fresh), rollout.order,
                                         rollout.options.plan.canary_share,
@@ -220,13 +221,28 @@
     return count;
 }
 
+/// Hashes of the names of routes whose answers are streams.
+std::vector<std::uint64_t> streaming_routes(entry_state const& state)
+{
+    std::vector<std::uint64_t> routes;
+    if (!state.deployment || !state.deployment->rules)
+        return routes;
+    for (auto const& route : state.deployment->rules->routes)
+    {
+        if (route.streaming)
+            routes.push_back(name_hash(route.name));
+    }
+    return routes;
+}
+
 void check_rollout(entry_state& state, service_id const& service,
                    service_rollout& entry, time_point at)
 {
     auto& rollout = *entry.rollout;
     auto const new_servers = update_new_servers(state, service, entry, at);
-    auto const checked =
-        decisions::check(rollout, {.new_servers = new_servers}, at);
+    auto const checked = decisions::check(
+        rollout,
+        {.new_servers = new_servers, .streams = streaming_routes(state)}, at);
     if (checked.found_bad)
         log_finding(state, service, rollout, at);
     if (checked.step_changed)
@@ -362,7 +378,8 @@
         return;
     std::uniform_real_distribution<> draw{0, 1};
     request.wants_new_version = decisions::prefers_new_version(
-        rollout, name_hash(request.routed.terms.route), draw(state.random), at);
+        rollout, name_hash(request.routed.terms.route),
+        request.routed.terms.streaming, draw(state.random), at);
 }
 
 bool leave_new_version(entry_request& request)
--- a/tests/unit/decisions/rollout_fleet.hpp
+++ b/tests/unit/decisions/rollout_fleet.hpp
@@ -197,9 +197,9 @@
         std::size_t route = 0;
         while (route + 1 < route_shares.size() && draw >= route_shares[route])
             draw -= route_shares[route++];
-        bool const at_new =
-            setup.has_new_servers &&
-            prefers_new_version(router.state, route + 1, uniform(), at);
+        bool const at_new = setup.has_new_servers &&
+                            prefers_new_version(router.state, route + 1,
+                                                route == 3, uniform(), at);
         moment const now{.since_s = seconds{since_order()}.count(),
                          .route = route,
                          .new_per_second = new_per_second};
@@ -326,7 +326,9 @@
         if (!router.alive)
             return;
         auto const checked = check(
-            router.state, {.new_servers = setup.has_new_servers ? 4U : 0U}, at);
+            router.state,
+            {.new_servers = setup.has_new_servers ? 4U : 0U, .streams = {4}},
+            at);
         if (is_cut_off(router))
             return;
         if (checked.write)
--- a/tests/unit/decisions/rollout_test.cpp
+++ b/tests/unit/decisions/rollout_test.cpp
@@ -354,7 +354,7 @@
     BOOST_TEST((decided.write == rollout_state::rolled_back));
     apply_stored_state(state, rollout_state::succeeded, at);
     BOOST_TEST(!check(state, {.new_servers = 2}, at + 2s).write.has_value());
-    BOOST_TEST(prefers_new_version(state, 1, 0.5, at + 9s));
+    BOOST_TEST(prefers_new_version(state, 1, false, 0.5, at + 9s));
     apply_stored_state(state, rollout_state::rolled_back, at);
     BOOST_TEST((state.stored == rollout_state::succeeded));
 }
