--- a/tests/process/store_fleet.cpp
+++ b/tests/process/store_fleet.cpp
@@ -61,13 +61,8 @@
 {
     for (std::size_t i = 0; i < options.servers; ++i)
     {
-        auto& server =
-            *servers.emplace_back(std::make_unique<test::server_standin>());
-        server.id = fmt::format("i-{}", i);
-        server.event_gap = options.event_gap;
-        standins.start_server(server);
-        test::put(standins.store, "servers/" + server.id,
-                  test::encode_server_entry(server, "ready"));
+        add_server(*this, fmt::format("i-{}", i), options.version).event_gap =
+            options.event_gap;
     }
     change_configuration(*this);
     auto const ports = find_free_ports(4 * options.routers);
@@ -139,6 +134,19 @@
             route(fmt::format("added-{}", fleet.version), "safe", 500, 1)));
 }
 
+test::server_standin& add_server(store_fleet& fleet, std::string const& id,
+                                 std::string const& version)
+{
+    auto& server =
+        *fleet.servers.emplace_back(std::make_unique<test::server_standin>());
+    server.id = id;
+    server.version = version;
+    fleet.standins.start_server(server);
+    test::put(fleet.standins.store, "servers/" + id,
+              test::encode_server_entry(server, "ready"));
+    return server;
+}
+
 std::size_t count_runs(store_fleet& fleet, std::string const& request_id)
 {
     std::size_t runs = 0;
--- a/tests/process/store_fleet.hpp
+++ b/tests/process/store_fleet.hpp
@@ -38,6 +38,7 @@
     /// Routes of their own for streams below `/NAME/`.
     std::vector<std::string> stream_routes;
     std::string program; ///< Of the routers; empty: the one of this build.
+    std::string version; ///< Of the servers; empty: they state none.
 };
 
 struct store_fleet
@@ -61,6 +62,10 @@
 /// Waits until the router is ready; false if it is not within `limit`.
 bool wait_ready(store_router const& router, std::chrono::milliseconds limit);
 
+/// Starts a server and registers it.
+test::server_standin& add_server(store_fleet& fleet, std::string const& id,
+                                 std::string const& version);
+
 /// Writes a new version of the configuration, which has a route more.
 void change_configuration(store_fleet& fleet);
 
--- a/tests/unit/platform/standins.cpp
+++ b/tests/unit/platform/standins.cpp
@@ -3,6 +3,8 @@
 #include "common/base64.hpp"
 #include "platform/headers.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 #include <future>
@@ -45,23 +47,46 @@
             {"Value", to_base64(*event.value)}};
 }
 
-http_response list_page(store_standin& store, std::string const& after_key)
+json item_json(std::string const& key, store_standin::item const& item)
+{
+    return {{"Key", key},
+            {"Value", to_base64(item.value)},
+            {"Revision", item.changed},
+            {"CreatedRev", item.created},
+            {"Lease", 0}};
+}
+
+http_response list_page(store_standin& store, std::string const& prefix,
+                        std::string const& after_key)
 {
     std::lock_guard const lock{store.mutex};
     json items = json::array();
-    auto item = store.items.upper_bound(after_key);
-    for (; item != store.items.end() && items.size() < store.page_size; ++item)
-        items.push_back({{"Key", item->first},
-                         {"Revision", item->second.changed},
-                         {"Value", to_base64(item->second.value)}});
+    auto item = after_key.empty() ? store.items.lower_bound(prefix)
+                                  : store.items.upper_bound(after_key);
+    auto const ends = [&]
+    { return item == store.items.end() || !item->first.starts_with(prefix); };
+    for (; !ends() && items.size() < store.page_size; ++item)
+        items.push_back(item_json(item->first, item->second));
     return json_response(200, json{{"Items", items},
-                                   {"MorePages", item != store.items.end()},
+                                   {"MorePages", !ends()},
                                    {"AsOf", store.last_revision}}
                                   .dump());
 }
 
-/// Returns std::nullopt if there are no events after a revision.
-std::optional<http_response> changes_after(store_standin& store, revision after)
+http_response read_item(store_standin& store, std::string const& key)
+{
+    std::lock_guard const lock{store.mutex};
+    auto const item = store.items.find(key);
+    if (item == store.items.end())
+        return json_response(404, json{{"AsOf", store.last_revision}}.dump());
+    auto response = item_json(key, item->second);
+    response["AsOf"] = store.last_revision;
+    return json_response(200, response.dump());
+}
+
+/// Returns std::nullopt if no key with the prefix changed after a revision.
+std::optional<http_response>
+changes_after(store_standin& store, std::string const& prefix, revision after)
 {
     std::lock_guard const lock{store.mutex};
     if (after < store.compacted)
@@ -69,7 +94,7 @@
     json events = json::array();
     for (auto const& event : store.events)
     {
-        if (event.at > after)
+        if (event.at > after && event.key.starts_with(prefix))
             events.push_back(event_json(event));
     }
     if (events.empty())
@@ -83,13 +108,14 @@
 watch(store_standin& store, connection_ptr connection, asio::io_context& io)
 {
     revision const after = std::stoull(query_value(*connection, "After"));
+    auto const prefix = query_value(*connection, "PathPrefix");
     auto const wait = std::chrono::milliseconds{
         std::stoi(query_value(*connection, "WaitMs"))};
     auto const end = std::chrono::steady_clock::now() + wait;
     asio::steady_timer timer{io};
     while (std::chrono::steady_clock::now() < end && !connection->gone)
     {
-        if (auto response = changes_after(store, after))
+        if (auto response = changes_after(store, prefix, after))
             co_return std::move(*response);
         co_await sleep(timer, poll_interval);
     }
@@ -97,13 +123,51 @@
         200, json{{"events", json::array()}, {"AsOf", after}}.dump());
 }
 
+/// Writes a key while the caller holds the mutex.
+void put_locked(store_standin& store, std::string const& key, std::string value)
+{
+    auto& item = store.items[key];
+    item.value = value;
+    item.changed = ++store.last_revision;
+    if (item.created == 0)
+        item.created = item.changed;
+    store.events.push_back({store.last_revision, key, std::move(value)});
+}
+
+/// Executes a transaction, unless a key has another revision than expected; 0:
+/// the key is expected not to exist.
 http_response apply_write(store_standin& store, std::string const& body)
 {
+    std::lock_guard const lock{store.mutex};
     auto const request = json::parse(body);
+    json present = json::array();
+    bool holds = true;
+    for (auto const& expected : request["ExpectedRevision"])
+    {
+        auto const key = expected["Key"].get<std::string>();
+        auto const item = store.items.find(key);
+        bool const exists = item != store.items.end();
+        if (exists)
+            present.push_back(item_json(key, item->second));
+        holds = holds && (exists ? item->second.changed : 0) ==
+                             expected["Revision"].get<revision>();
+    }
+    if (!holds)
+        return json_response(412, json{{"Items", present}}.dump());
     for (auto const& item : request["SetKeys"])
-        put(store, item["Key"].get<std::string>(),
-            from_base64(item["Value"].get<std::string>()).value_or(""));
-    return json_response(200, R"({"Revision":1})");
+        put_locked(store, item["Key"].get<std::string>(),
+                   from_base64(item["Value"].get<std::string>()).value_or(""));
+    return json_response(200, json{{"Revision", store.last_revision}}.dump());
+}
+
+/// Executes a write `delay` after its connection was closed.
+asio::awaitable<void> apply_late(store_standin& store, asio::io_context& io,
+                                 std::string body,
+                                 std::chrono::milliseconds delay)
+{
+    asio::steady_timer timer{io};
+    co_await sleep(timer, delay);
+    apply_write(store, body);
 }
 
 /// Handles a request to the store.
@@ -122,11 +186,26 @@
         co_await sleep(timer, poll_interval);
     http_response response = json_response(200, R"({"Lease":7,"TtlMs":9000})");
     if (path == "/kv-range")
-        response = list_page(store, query_value(*connection, "After"));
+        response = list_page(store, query_value(*connection, "PathPrefix"),
+                             query_value(*connection, "After"));
+    else if (path == "/kv-key")
+        response = read_item(store, query_value(*connection, "Key"));
     else if (path == "/kv-watch")
         response = co_await watch(store, connection, io);
     else if (path == "/kv-txn")
+    {
+        auto const fault = store.fault.load();
+        if (fault == store_fault::late_writes)
+        {
+            asio::co_spawn(
+                io, apply_late(store, io, connection->request.body(), 1s),
+                asio::detached);
+            co_return false;
+        }
         response = apply_write(store, connection->request.body());
+        if (fault == store_fault::unanswered_writes)
+            co_return false;
+    }
     co_return co_await send_response(connection, std::move(response));
 }
 
@@ -224,6 +303,8 @@
         ++server.abandoned;
     if (server.fault == server_fault::reset || connection->gone)
         co_return false;
+    if (server.fault == server_fault::failing)
+        response.result(500);
     if (server.fault == server_fault::cut_answer)
     {
         if (co_await send_stream_head(connection, response))
@@ -238,8 +319,17 @@
 void put(store_standin& store, std::string const& key, std::string value)
 {
     std::lock_guard const lock{store.mutex};
-    store.items[key] = {value, ++store.last_revision};
-    store.events.push_back({store.last_revision, key, std::move(value)});
+    put_locked(store, key, std::move(value));
+}
+
+std::optional<std::string> value_of(store_standin& store,
+                                    std::string const& key)
+{
+    std::lock_guard const lock{store.mutex};
+    auto const item = store.items.find(key);
+    if (item == store.items.end())
+        return std::nullopt;
+    return item->second.value;
 }
 
 void erase(store_standin& store, std::string const& key)
@@ -270,15 +360,17 @@
 
 std::string encode_server_entry(server_standin const& server, std::string state)
 {
-    return json{{"Service", "desk"},
-                {"Address", "127.0.0.1:" + std::to_string(server.port)},
-                {"Zone", "a"},
-                {"Slots", 6},
-                {"State", std::move(state)},
-                {"ColdRemainingMs", 0},
-                {"Sequence", 1},
-                {"born", 1}}
-        .dump();
+    json entry{{"Service", "desk"},
+               {"Address", "127.0.0.1:" + std::to_string(server.port)},
+               {"Zone", "a"},
+               {"Slots", 6},
+               {"State", std::move(state)},
+               {"ColdRemainingMs", 0},
+               {"Sequence", 1},
+               {"born", 1}};
+    if (!server.version.empty())
+        entry["Version"] = server.version;
+    return entry.dump();
 }
 
 standins::standins() : work_{asio::make_work_guard(io_)}
--- a/tests/unit/platform/standins.hpp
+++ b/tests/unit/platform/standins.hpp
@@ -23,18 +23,21 @@
 enum class store_fault
 {
     none,
-    silent, ///< Accepts requests and never responds.
-    busy,   ///< Responds to every request with 503.
+    silent,            ///< Accepts requests and never responds.
+    busy,              ///< Responds to every request with 503.
+    unanswered_writes, ///< Executes writes and closes without a response.
+    late_writes,       ///< As `unanswered_writes`, but executes them 1 s later.
 };
 
-/// Stand-in for the store, with items that have revisions, with watches, and
-/// with leases that never expire.
+/// Stand-in for the store, with items that have revisions, with watches,
+/// conditional writes, and leases that never expire.
 struct store_standin
 {
     struct item
     {
         std::string value;
         revision changed = 0;
+        revision created = 0;
     };
     struct event
     {
@@ -55,6 +58,9 @@
 
 void put(store_standin& store, std::string const& key, std::string value);
 void erase(store_standin& store, std::string const& key);
+/// Returns the value of a key; std::nullopt if it does not exist.
+std::optional<std::string> value_of(store_standin& store,
+                                    std::string const& key);
 /// Discards all events, as a store does when it compacts its history.
 void compact_history(store_standin& store);
 /// Returns the number of requests to a path of the store.
@@ -69,6 +75,7 @@
     cut_answer,   ///< Closes the connection in the middle of the answer.
     no_signature, ///< Answers without the signature header.
     silent,       ///< Never answers.
+    failing,      ///< Runs requests and responds with 500.
 };
 
 /// Stand-in for a backend server. Answers with its id and the body of the
@@ -79,6 +86,7 @@
 struct server_standin
 {
     std::string id;
+    std::string version; ///< Stated in its entry unless it is empty.
     std::uint16_t port = 0;
     std::mutex mutex;
     /// Callers' ids of the requests that were run, in order.
