Hold servers of a new version until the order of their service is known

Cause: entries of servers and orders arrive by separate watches, so a new server could get requests before this router had read the order that was written first. Change: a server whose version no server of its service has gets no requests until the operators' records are read up to its entry, or the order's key was read after the entry arrived (one call for each service).

--- a/source/decisions/discovery.cpp
+++ b/source/decisions/discovery.cpp
@@ -116,10 +116,33 @@
                                     rules->version, refresh_rollouts(state))};
 }
 
+/// True if an entry may not be used yet: its version differs from those in use,
+/// and an order that was written before the entry may not be known. The first
+/// server of a service is used at once.
+bool should_hold(discovery const& state, config::listed_server const& server,
+                 revision changed)
+{
+    auto const& read = state.orders_read;
+    auto const order = read.find(server.service);
+    auto const known =
+        std::max(state.operators_read, order == read.end() ? 0 : order->second);
+    bool has_others = false;
+    for (auto const& [id, other] : state.deployment.servers)
+    {
+        if (other.service != server.service || id == server.id)
+            continue;
+        if (other.version == server.version)
+            return false;
+        has_others = true;
+    }
+    return has_others && changed > known;
+}
+
 /// Removes a server now, or defers its removal if it may still run.
 discovery_effect remove_server(discovery& state, server_id const& id,
                                time_point at, std::string_view reason)
 {
+    state.held_servers.erase(id);
     if (!state.deployment.servers.contains(id))
         return {};
     if (should_defer_removal(state, at))
@@ -162,6 +185,19 @@
         return {.log_text =
                     fmt::format("server={} outdated entry ignored", id.value)};
     auto const known = state.deployment.servers.find(id);
+    state.held_servers.erase(id);
+    if (should_hold(state, entry.server, change.changed))
+    {
+        bool const was_used = state.deployment.servers.erase(id) != 0;
+        state.held_servers[id] = {.change = change,
+                                  .service = entry.server.service};
+        return {.deployment_changed = was_used,
+                .log_text = fmt::format(
+                    "server={} service={} version={} held until the order of "
+                    "its service is known",
+                    id.value, entry.server.service.value,
+                    entry.server.version)};
+    }
     bool const same_start = known != state.deployment.servers.end() &&
                             known->second.born == entry.server.born;
     auto next = entry.server;
@@ -217,6 +253,25 @@
                 fmt::format("key={} ignored: {}", change.key, ignored.reason)};
 }
 
+/// Applies the entries of the held servers that no longer have to wait.
+discovery_effect release_held_servers(discovery& state, time_point at)
+{
+    discovery_effect combined;
+    auto const held = state.held_servers;
+    for (auto const& [id, server] : held)
+    {
+        auto const& entry = std::get<server_entry>(server.change.content);
+        if (should_hold(state, entry.server, server.change.changed))
+            continue;
+        auto const effect = apply_content(state, server.change, entry, at);
+        combined.deployment_changed =
+            combined.deployment_changed || effect.deployment_changed;
+        combined.log_text +=
+            (combined.log_text.empty() ? "" : " ") + effect.log_text;
+    }
+    return combined;
+}
+
 } // namespace
 
 void record_store_unavailable(discovery& state)
@@ -271,6 +326,33 @@
                       change.content);
 }
 
+discovery_effect record_operators_read(discovery& state, revision read_to,
+                                       time_point at)
+{
+    state.operators_read = std::max(state.operators_read, read_to);
+    return release_held_servers(state, at);
+}
+
+discovery_effect record_order_read(discovery& state, service_id const& service,
+                                   revision read_to, time_point at)
+{
+    auto& read = state.orders_read[service];
+    read = std::max(read, read_to);
+    return release_held_servers(state, at);
+}
+
+std::map<service_id, revision>
+services_with_held_servers(discovery const& state)
+{
+    std::map<service_id, revision> services;
+    for (auto const& [id, held] : state.held_servers)
+    {
+        auto& newest = services[held.service];
+        newest = std::max(newest, held.change.changed);
+    }
+    return services;
+}
+
 discovery_effect record_rollout_status(discovery& state,
                                        config::rollout_status const& status)
 {
--- a/source/decisions/discovery.hpp
+++ b/source/decisions/discovery.hpp
@@ -83,6 +83,14 @@
     double mass_expiry_share = 0.5;
 };
 
+/// A server whose version no server in use has. It gets no requests until it is
+/// known whether an order names the version.
+struct held_server
+{
+    record_change change; ///< The newest entry.
+    service_id service;
+};
+
 struct discovery
 {
     discovery_options options;
@@ -95,6 +103,12 @@
     /// Newest valid order of each service, also of services that the rules do
     /// not name. Those of named services are in force.
     std::map<service_id, config::rollout_order> orders;
+    std::map<server_id, held_server> held_servers;
+    /// All operators' records up to this revision are applied.
+    revision operators_read = 0;
+    /// The order of a service is known as of this revision. Missing: as of
+    /// `operators_read`.
+    std::map<service_id, revision> orders_read;
     /// Servers whose entries were removed in connection with an outage of the
     /// store, with the time at which they are removed here.
     std::map<server_id, time_point> deferred_removals;
@@ -138,6 +152,21 @@
 discovery_effect record_rollout_status(discovery& state,
                                        config::rollout_status const& status);
 
+/// Records that all operators' records up to a revision are applied, and puts
+/// the held servers with older entries in use.
+discovery_effect record_operators_read(discovery& state, revision read_to,
+                                       time_point at);
+
+/// Records that the order of a service is known as of a revision, and puts the
+/// held servers with older entries in use.
+discovery_effect record_order_read(discovery& state, service_id const& service,
+                                   revision read_to, time_point at);
+
+/// Returns the services that have held servers, with the revision of the newest
+/// entry of these.
+std::map<service_id, revision>
+services_with_held_servers(discovery const& state);
+
 /// Returns the number of servers of a service by version.
 std::map<std::string, std::size_t>
 server_versions(config::deployment const& deployment,
--- a/source/services/store/group_sync.cpp
+++ b/source/services/store/group_sync.cpp
@@ -38,29 +38,6 @@
     send(state.peers, std::move(message));
 }
 
-/// Applies changes that arrived together and publishes their effect once.
-void apply_changes(store_state& state,
-                   std::vector<decisions::record_change> const& changes)
-{
-    decisions::detect_mass_expiry(state.discovery, changes);
-    decisions::discovery_effect combined;
-    for (auto const& change : changes)
-    {
-        auto const effect = decisions::apply_change(state.discovery, change,
-                                                    current_time(state));
-        combined.deployment_changed =
-            combined.deployment_changed || effect.deployment_changed;
-        combined.routers_changed =
-            combined.routers_changed || effect.routers_changed;
-        if (effect.order_ignored)
-            count(state.telemetry_sink, counter::rollout_orders_ignored);
-        if (!effect.log_text.empty())
-            log(state.telemetry_sink, log_severity::info, "discovery",
-                fmt::format("{} revision={}", effect.log_text, change.changed));
-    }
-    publish_effect(state, combined);
-}
-
 /// Sends the revisions of the newest changes to the peers service, so that a
 /// peer whose watch is dead learns that it missed some.
 void advertise_revisions(store_state& state)
@@ -138,6 +115,15 @@
         "dependency=store");
 }
 
+/// Uses the servers that waited for the operators' records up to here.
+void record_synced(store_state& state, group_sync const& sync)
+{
+    if (sync.group == record_group::rules)
+        publish_effect(
+            state, decisions::record_operators_read(
+                       state.discovery, sync.synced_to, current_time(state)));
+}
+
 /// Removes the records that are missing from a complete list, except those
 /// that are newer than the list.
 void finish_list(store_state& state, group_sync& sync)
@@ -190,6 +176,7 @@
         return;
     }
     sync.synced_to = sync.list_revision;
+    record_synced(state, sync);
     send_sync_request(state, sync);
 }
 
@@ -202,6 +189,7 @@
 {
     apply_batch(state, sync, batch);
     sync.synced_to = std::max(sync.synced_to, batch.as_of);
+    record_synced(state, sync);
     // The store has nothing newer, whatever revision peers advertised.
     if (restarted)
         sync.newest_peer_revision =
@@ -269,6 +257,28 @@
     return duration{jittered(state.random)};
 }
 
+void apply_changes(store_state& state,
+                   std::vector<decisions::record_change> const& changes)
+{
+    decisions::detect_mass_expiry(state.discovery, changes);
+    decisions::discovery_effect combined;
+    for (auto const& change : changes)
+    {
+        auto const effect = decisions::apply_change(state.discovery, change,
+                                                    current_time(state));
+        combined.deployment_changed =
+            combined.deployment_changed || effect.deployment_changed;
+        combined.routers_changed =
+            combined.routers_changed || effect.routers_changed;
+        if (effect.order_ignored)
+            count(state.telemetry_sink, counter::rollout_orders_ignored);
+        if (!effect.log_text.empty())
+            log(state.telemetry_sink, log_severity::info, "discovery",
+                fmt::format("{} revision={}", effect.log_text, change.changed));
+    }
+    publish_effect(state, combined);
+}
+
 void publish_effect(store_state& state,
                     decisions::discovery_effect const& effect)
 {
--- a/source/services/store/store_codec.hpp
+++ b/source/services/store/store_codec.hpp
@@ -85,6 +85,11 @@
     /// Returns a record that identifies what the removed key stood for.
     decisions::store_record (*decode_removed_key)(std::string_view key) =
         nullptr;
+    /// Encodes a read of the key that holds the order of a service's rollout.
+    store_request (*encode_order_read)(service_id const& service) = nullptr;
+    /// Decodes the response to a read of an order, also if the key does not
+    /// exist. `as_of` is 0 if the response does not state its revision.
+    result<record_batch> (*decode_order_read)(std::string_view body) = nullptr;
     /// Encodes a read of the key that holds the status of a service's rollout.
     store_request (*encode_status_read)(service_id const& service) = nullptr;
     /// Decodes the response to a read that found the key.
--- a/source/services/store/store_parts.hpp
+++ b/source/services/store/store_parts.hpp
@@ -63,6 +63,24 @@
 /// have not been listed again in time.
 void remove_expired_servers(store_state& state);
 
+/// Applies changes that arrived together and publishes their effect once.
+void apply_changes(store_state& state,
+                   std::vector<decisions::record_change> const& changes);
+
+/// Returns the read of an order that sent a request, or nullptr.
+order_check* find_order_check(store_state& state, std::uint64_t request_id);
+
+/// Reads the orders of the services that have held servers, at most one request
+/// for each service at a time.
+void send_due_order_checks(store_state& state);
+
+/// Handles the complete response to the read of an order.
+void handle_order_response(store_state& state, order_check& check);
+
+/// Schedules a retry of a failed read of an order.
+void handle_order_failure(store_state& state, order_check& check,
+                          std::string const& reason);
+
 /// Returns the rollout that sent a request, or nullptr.
 rollout_sync* find_rollout(store_state& state, std::uint64_t request_id);
 
--- a/source/services/store/store_service.cpp
+++ b/source/services/store/store_service.cpp
@@ -33,6 +33,8 @@
         return &sync->request;
     if (auto* const rollout = find_rollout(state, id))
         return &rollout->request;
+    if (auto* const check = find_order_check(state, id))
+        return &check->request;
     return state.lease_request.id == id ? &state.lease_request : nullptr;
 }
 
@@ -55,6 +57,8 @@
         handle_sync_response(state, *sync);
     else if (auto* const rollout = find_rollout(state, end.id))
         handle_rollout_response(state, *rollout);
+    else if (auto* const check = find_order_check(state, end.id))
+        handle_order_response(state, *check);
     else
         handle_lease_response(state);
 }
@@ -65,9 +69,12 @@
     auto const reason = describe(failed.cause);
     auto* const sync = find_sync(state, failed.id);
     auto* const rollout = find_rollout(state, failed.id);
+    auto* const check = find_order_check(state, failed.id);
     request = {};
     if (rollout)
         handle_rollout_failure(state, *rollout, reason);
+    else if (check)
+        handle_order_failure(state, *check, reason);
     else if (sync)
         handle_sync_failure(state, *sync, reason);
     else if (state.registration != registration_stage::revoking_lease)
@@ -116,6 +123,7 @@
     send_due_sync_requests(state);
     send_due_lease_request(state);
     send_due_rollout_calls(state);
+    send_due_order_checks(state);
     flush(state.telemetry_sink);
 }
 
--- a/source/services/store/store_service.hpp
+++ b/source/services/store/store_service.hpp
@@ -173,6 +173,15 @@
     time_point requested_at{};
 };
 
+/// Read of the order of a service that has held servers.
+struct order_check
+{
+    pending_request request;
+    revision newest_entry = 0; ///< Of the held servers, when it was sent.
+    std::uint32_t failures = 0;
+    time_point next_call{};
+};
+
 struct store_state
 {
     store_options options;
@@ -204,6 +213,7 @@
     bool draining = false;
 
     std::map<service_id, rollout_sync> rollouts; ///< Orders in force.
+    std::map<service_id, order_check> order_checks;
 };
 
 using store_service = kernel::service<store_state, store_message>;
--- a/tests/unit/decisions/discovery_test.cpp
+++ b/tests/unit/decisions/discovery_test.cpp
@@ -267,8 +267,45 @@
     BOOST_TEST(state.deployment.rollouts.empty());
 }
 
+// Guards against requests at a new version whose order this router has not read
+// yet: entries and orders arrive by separate watches.
+BOOST_AUTO_TEST_CASE(a_server_of_a_new_version_waits_for_the_operators_records)
+{
+    auto const versioned =
+        [](revision changed, std::string const& id, std::string const& version)
+    {
+        auto change = server(changed, id);
+        std::get<server_entry>(change.content).server.version = version;
+        return change;
+    };
+    record_operators_read(state, 10, begin);
+    apply_change(state, versioned(11, "s1", "v1"), begin);
+    apply_change(state, versioned(12, "s2", "v1"), begin);
+    BOOST_TEST(has_server("s2"));
+    BOOST_TEST(!apply_change(state, versioned(15, "s3", "v2"), begin)
+                    .deployment_changed);
+    apply_change(state, versioned(17, "s4", "v2"), begin);
+    apply_change(state, versioned(18, "s5", "v3"), begin);
+    BOOST_TEST(!has_server("s3"));
+    BOOST_TEST(services_with_held_servers(state).at({"llm"}) == 18U);
+    apply_change(state, server_removed(19, "s5"), begin);
+    BOOST_TEST(services_with_held_servers(state).at({"llm"}) == 17U);
+    BOOST_TEST(
+        !record_order_read(state, {"llm"}, 14, begin).deployment_changed);
+    // Once one server of the version is in use, the others are as well.
+    BOOST_TEST(record_order_read(state, {"llm"}, 16, begin).deployment_changed);
+    BOOST_TEST(has_server("s3"));
+    BOOST_TEST(has_server("s4"));
+    BOOST_TEST(services_with_held_servers(state).empty());
+    apply_change(state, versioned(20, "s2", "v4"), begin);
+    BOOST_TEST(!has_server("s2"));
+    record_operators_read(state, 20, begin);
+    BOOST_TEST(has_server("s2"));
+}
+
 BOOST_AUTO_TEST_CASE(servers_of_a_service_are_counted_by_version)
 {
+    record_operators_read(state, 1, begin);
     for (auto const* id : {"s1", "s2", "s3"})
     {
         auto change = server(1, id);
--- a/tests/unit/platform/store_codec_test.cpp
+++ b/tests/unit/platform/store_codec_test.cpp
@@ -115,6 +115,25 @@
     BOOST_TEST(gone.value().changed == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(an_order_is_read_by_its_key)
+{
+    auto const codec = store_codec();
+    BOOST_TEST(codec.encode_order_read({"desk"}).target ==
+               "/kv-key?Key=op/rollout/desk");
+    json const item{
+        {"Key", "op/rollout/desk"},
+        {"Value", to_base64(R"({"Service":"desk","To":"v2","DurationS":9})")},
+        {"Revision", 42},
+        {"AsOf", 50}};
+    auto const read = codec.decode_order_read(item.dump());
+    BOOST_TEST(read.value().as_of == 50U);
+    BOOST_REQUIRE(read.value().changes.size() == 1U);
+    BOOST_TEST(std::holds_alternative<config::rollout_order>(
+        read.value().changes[0].content));
+    BOOST_TEST(codec.decode_order_read(R"({"AsOf":7})").value().as_of == 7U);
+    BOOST_TEST(!codec.decode_order_read("").has_value());
+}
+
 // Guards against a value of another writer that ends the routers, or keeps them
 // from storing a state: the key's revision is known and it is overwritten.
 BOOST_AUTO_TEST_CASE(statuses_that_can_not_be_read_keep_their_revision)
--- a/tests/unit/services/store/rollout_status_test.cpp
+++ b/tests/unit/services/store/rollout_status_test.cpp
@@ -322,6 +322,29 @@
     BOOST_TEST(count("write") == 0U);
 }
 
+// Guards against requests at a new version whose order this router has not read
+// yet, and against new servers that get none for as long as a watch lasts.
+BOOST_AUTO_TEST_CASE(a_server_of_a_new_version_waits_for_a_read_of_the_order)
+{
+    complete_start();
+    change_rules({rules(11, "desk")});
+    auto added = change("servers/i-3", 15);
+    std::get<decisions::server_entry>(added.content).server.version = "v2";
+    respond("watch servers", {.changes = {added}, .as_of = 15});
+    BOOST_TEST(server_count() == 2U);
+    runtime.advance(300ms);
+    time_out("order desk");
+    BOOST_TEST(server_count() == 2U);
+    runtime.advance(1s);
+    BOOST_TEST(count("order desk") == 2U);
+    respond("order desk",
+            {.changes = {change("rules/rollout-desk", 12)}, .as_of = 16});
+    BOOST_TEST(published().rollouts.at({"desk"}).changed == 12U);
+    BOOST_TEST(server_count() == 3U);
+    runtime.advance(5s);
+    BOOST_TEST(count("order desk") == 2U);
+}
+
 // Guards against orders that are lost with the store's history of changes.
 BOOST_AUTO_TEST_CASE(orders_survive_the_loss_of_the_history)
 {
--- a/tests/unit/services/store/store_fixture.hpp
+++ b/tests/unit/services/store/store_fixture.hpp
@@ -115,6 +115,9 @@
             [](decisions::listed_router const&, std::uint64_t)
         { return fake_request("register"); },
         .decode_removed_key = fake_record,
+        .encode_order_read = [](service_id const& service)
+        { return fake_request("order " + service.value); },
+        .decode_order_read = fake_decode,
         .encode_status_read = [](service_id const& service)
         { return fake_request("read " + service.value); },
         .decode_status_read = fake_status,
