Accept a fourth figure in the servers' load reports

parse_load rejected a report with the optional pace without a log line, so all reports of servers that state their pace were lost. It now accepts three or four figures, and malformed reports are counted by cause and logged once per server. Reports in misdirected or foreign answers are ignored: they are not the server's own.

The earlier test expected "3,1,8,9" to be rejected; four figures are valid according to the requirements. Its replacement states a cause for each text.

--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -115,11 +115,8 @@
     auto const parsed = state.options.dialect.parse_head(
         request.routed, head.status, head.headers);
     auto* const server = find_current_server(state, request);
-    if (server && parsed.load)
-    {
-        server->last_report = parsed.load;
-        server->reported_at = now(ctx);
-    }
+    if (server)
+        record_load_report(state, *server, parsed, now(ctx));
     if (parsed.kind != answer_kind::foreign)
         record_announcements(state, request, parsed, now(ctx));
     if (parsed.kind != answer_kind::genuine)
--- a/source/services/entry/backend_dialect.hpp
+++ b/source/services/entry/backend_dialect.hpp
@@ -36,13 +36,37 @@
     std::uint32_t running = 0; ///< Requests in progress.
     std::uint32_t waiting = 0; ///< Requests in the server's queue.
     std::uint32_t slots = 0;   ///< Requests that the server runs at once.
+    /// Time that work takes on the server's machine at present, in percent of
+    /// the usual time. std::nullopt: not stated.
+    std::optional<std::uint32_t> pace_percent;
 };
 
+/// Why a report of a server's load is malformed.
+enum class load_report_fault
+{
+    missing_figure,   ///< Fewer than three figures, or an empty one.
+    not_a_number,     ///< A figure is not an unsigned decimal number.
+    too_many_figures, ///< More than four figures.
+    out_of_range,     ///< A figure is beyond what a server can have.
+};
+
+constexpr auto enum_names(load_report_fault)
+{
+    using f = load_report_fault;
+    using row = enum_name<load_report_fault>;
+    return std::array{row{f::missing_figure, "missing_figure"},
+                      row{f::not_a_number, "not_a_number"},
+                      row{f::too_many_figures, "too_many_figures"},
+                      row{f::out_of_range, "out_of_range"}};
+}
+
 /// Result of parsing the head of an answer.
 struct parsed_head
 {
     answer_kind kind = answer_kind::genuine;
-    std::optional<reported_load> load; ///< std::nullopt: not reported.
+    std::optional<reported_load> load; ///< std::nullopt: no valid report.
+    /// Set if there is a report and it is malformed.
+    std::optional<load_report_fault> load_fault;
     bool leaving = false; ///< The server announces that it is leaving.
     /// Time for which the server wants no further request from this router.
     duration wanted_pause{};
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -30,6 +30,11 @@
 backend_server* find_current_server(entry_state& state,
                                     entry_request const& request);
 
+/// Records the load that the head of an answer of the server reports. Counts
+/// malformed reports by cause and logs the first one of each server.
+void record_load_report(entry_state& state, backend_server& server,
+                        parsed_head const& head, time_point at);
+
 /// Returns the number of requests that the other routers last reported to have
 /// in flight at the server.
 std::uint32_t remote_in_flight(entry_state const& state,
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -103,6 +103,8 @@
     std::uint32_t local_in_flight = 0;
     std::optional<reported_load> last_report;
     time_point reported_at{};
+    /// A malformed report of its load has been logged.
+    bool bad_report_logged = false;
     time_point cold_until{};
     /// Earliest time of the next request while the server is cold.
     time_point next_cold_send_at{};
--- a/source/services/entry/servers.cpp
+++ b/source/services/entry/servers.cpp
@@ -15,6 +15,7 @@
 void reset_history(backend_server& server)
 {
     server.last_report.reset();
+    server.bad_report_logged = false;
     server.ejected = false;
     server.consecutive_failures = 0;
     server.next_cold_send_at = {};
--- a/tests/unit/services/entry/fixture.hpp
+++ b/tests/unit/services/entry/fixture.hpp
@@ -10,6 +10,7 @@
 #include "services/messages/names.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <memory>
 #include <string>
 #include <vector>
@@ -65,12 +66,25 @@
 
 /// Reads the kind of an answer from its header `answer-kind`. The headers
 /// `leaving` and `pause` announce that the server leaves, or wants a pause of
-/// 2 s.
+/// 2 s. `pace` is the pace in a report of the server's load; the report is
+/// malformed if this is not a number.
 inline parsed_head parse_test_head(routed_request const&, int,
                                    std::vector<header_field> const& headers)
 {
+    auto const pace = find_header(headers, "pace");
+    std::uint32_t percent = 0;
+    auto const read =
+        std::from_chars(pace.data(), pace.data() + pace.size(), percent);
+    bool const is_valid = !pace.empty() && read.ec == std::errc{};
+    using load = std::optional<reported_load>;
+    using fault = std::optional<load_report_fault>;
     return {.kind = from_name<answer_kind>(find_header(headers, "answer-kind"))
                         .value_or(answer_kind::genuine),
+            .load = is_valid ? load{{.slots = 6, .pace_percent = percent}}
+                             : std::nullopt,
+            .load_fault = pace.empty() || is_valid
+                              ? std::nullopt
+                              : fault{load_report_fault::not_a_number},
             .leaving = !find_header(headers, "leaving").empty(),
             .wanted_pause = find_header(headers, "pause").empty() ? 0s : 2s};
 }
@@ -92,6 +106,8 @@
         add_recorder<peers_message>(test_kernel, service_name::peers);
     std::shared_ptr<std::vector<store_message>> store =
         add_recorder<store_message>(test_kernel, service_name::store);
+    std::shared_ptr<std::vector<log_message>> logged =
+        add_recorder<log_message>(test_kernel, service_name::log);
     kernel::address<routing_message> entry;
     std::vector<std::unique_ptr<caller>> callers;
     config::deployment deployment;
