Hold what servers report, and send paces to the other routers

A router kept the last report of each server and read it nowhere. A router that sees few answers of a server did not know its pace. server_model now holds the reported requests and the pace with their ages. The model affects no choice yet.

--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -397,9 +397,12 @@
                                   std::holds_alternative<backend_chunk>(event);
     if (has_answer_bytes)
     {
-        found->second.last_byte_at = now(ctx);
         if (auto* const server = find_current_server(state, found->second))
+        {
+            record_byte_time(state, *server, found->second, now(ctx));
             server->last_response_at = now(ctx);
+        }
+        found->second.last_byte_at = now(ctx);
     }
     std::visit(
         [&](auto&& alternative)
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -35,6 +35,17 @@
 void record_load_report(entry_state& state, backend_server& server,
                         parsed_head const& head, time_point at);
 
+/// Records the paces of servers that a heartbeat carries.
+void record_peer_paces(entry_state& state,
+                       decisions::peer_heartbeat const& heartbeat,
+                       time_point at);
+
+/// Records the time since the last byte of a stream, or since its attempt
+/// started, as a measure of the server's pace. Called before `last_byte_at`
+/// is updated.
+void record_byte_time(entry_state& state, backend_server const& server,
+                      entry_request const& request, time_point at);
+
 /// Returns the number of requests that the other routers last reported to have
 /// in flight at the server.
 std::uint32_t remote_in_flight(entry_state const& state,
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -128,6 +128,7 @@
     decisions::apply_heartbeat(state.remote_loads, state.options.domain,
                                message.heartbeat, now(ctx));
     apply_rollout_evidence(state, message.heartbeat, now(ctx));
+    record_peer_paces(state, message.heartbeat, now(ctx));
 }
 
 /// Forwards a crash that was not known yet, so that it also reaches routers
@@ -236,12 +237,14 @@
             report.domain.push_back({server.hash, domain_in_flight});
     }
     check_rollouts(state, report, now(ctx));
+    report.paces = decisions::paces_to_send(state.server_model, now(ctx));
     send(state.peers_service, std::move(report));
     if (++state.ticks % ticks_per_flush != 0)
         return;
     decisions::remove_expired_crashes(state.crashes, now(ctx));
     decisions::remove_expired(state.crashing_parts, now(ctx));
     decisions::remove_expired(state.announcements, now(ctx));
+    decisions::remove_expired(state.server_model, now(ctx));
     for (auto const& crash :
          decisions::crashes_to_repeat(state.crashes, now(ctx)))
         send(state.peers_service,
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -14,6 +14,7 @@
 #include "decisions/remote_loads.hpp"
 #include "decisions/server_announcements.hpp"
 #include "decisions/server_choice.hpp"
+#include "decisions/server_model.hpp"
 #include "decisions/stop_admission.hpp"
 #include "kernel/service.hpp"
 #include "services/entry/backend_dialect.hpp"
@@ -101,8 +102,6 @@
     std::uint64_t hash = 0;       ///< Hash of the server's id.
     /// Attempts of this router that are in flight at the server.
     std::uint32_t local_in_flight = 0;
-    std::optional<reported_load> last_report;
-    time_point reported_at{};
     /// A malformed report of its load has been logged.
     bool bad_report_logged = false;
     time_point cold_until{};
@@ -199,6 +198,7 @@
     std::map<service_id, decisions::retry_share> retry_shares;
     std::map<service_id, decisions::recent_prompts> recent_prompts;
     decisions::remote_loads remote_loads;
+    decisions::server_model server_model;
     decisions::crash_history crashes;
     decisions::crashing_parts crashing_parts;
     std::vector<possible_crash> possible_crashes; ///< Oldest first.
--- a/source/services/entry/servers.cpp
+++ b/source/services/entry/servers.cpp
@@ -14,7 +14,6 @@
 /// Resets what was learned about a server that restarted under the same id.
 void reset_history(backend_server& server)
 {
-    server.last_report.reset();
     server.bad_report_logged = false;
     server.ejected = false;
     server.consecutive_failures = 0;
--- a/tests/unit/services/entry/server_reports_test.cpp
+++ b/tests/unit/services/entry/server_reports_test.cpp
@@ -45,4 +45,22 @@
     BOOST_TEST(count_lines(*logged, "load_malformed") == 0);
 }
 
+// Routers that see few answers of a server know its pace through others only.
+BOOST_AUTO_TEST_CASE(paces_of_answers_and_peers_are_sent_to_peers)
+{
+    submit(idempotent);
+    auto const server = backend->sent.back().server;
+    answer_last_attempt(200, "ok", {{"pace", "250"}});
+    send(entry, peer_heartbeat_received{{.from = {"r2"},
+                                         .domain = {"b"},
+                                         .server_paces = {{99, 300, 20}}}});
+    test_kernel.advance(300ms);
+    auto const sent = received<local_load_report>(*peers).back().paces;
+    BOOST_REQUIRE(sent.size() == 2U);
+    BOOST_TEST(sent[0].server == name_hash(server.value));
+    BOOST_TEST(sent[0].pace_percent == 250U);
+    BOOST_TEST(sent[1].server == 99U);
+    BOOST_TEST(sent[1].age_ms == sent[0].age_ms + 20U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
