Choose servers by expected work and pace where they state it

A request counted as one, whatever it makes a server read, and the choice knew nothing of slow machines, so that long prompts met streams on slow servers. Where a server of the service has stated its pace within 2 s, the choice weighs load, pace and the tokens to read. Prefixes stay on their preferred servers unless another one is clearly better; other requests go to a random one of the servers with nearly the least cost. Elsewhere the choices are those of today, which a test compares.

--- a/source/common/request.hpp
+++ b/source/common/request.hpp
@@ -92,6 +92,8 @@
     std::vector<prompt_part> prompt; ///< In order; the last is its own.
     std::uint32_t prompt_tokens = 0;
     std::uint32_t answer_tokens = 0; ///< At most.
+    /// As the caller expects; at most `answer_tokens` if that is not zero.
+    std::uint32_t expected_answer_tokens = 0;
     time_point received{};
 };
 
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -46,6 +46,20 @@
 void record_byte_time(entry_state& state, backend_server const& server,
                       entry_request const& request, time_point at);
 
+/// Chooses one of the candidates, by expected work and pace if a server of the
+/// service has stated its pace lately. Sets the members of `candidates` that
+/// this needs.
+std::optional<decisions::server_choice>
+choose_server(entry_state& state, entry_request& request,
+              std::vector<decisions::server_candidate>& candidates, double mean,
+              std::optional<decisions::shared_prefix> const& prefix,
+              time_point at);
+
+/// Returns the inputs of the choice of `server` as fields of a log line, or an
+/// empty text if they did not include a pace.
+std::string pace_text(entry_state const& state, entry_request const& request,
+                      backend_server const& server, time_point at);
+
 /// Returns the number of requests that the other routers last reported to have
 /// in flight at the server.
 std::uint32_t remote_in_flight(entry_state const& state,
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -46,6 +46,7 @@
     decisions::retry_share_options retry_share;
     decisions::cold_share_options cold_share;
     decisions::server_choice_options server_choice;
+    decisions::work_choice_options work_choice;
     decisions::prompt_copy_options prompt_copy;
     decisions::hot_prompt_options hot_prompt;
     /// Answers that are not streams are buffered until they are complete, up to
@@ -148,6 +149,9 @@
     std::uint64_t server_run = 0;
     std::vector<server_id> tried_servers;
     time_point attempt_started_at{};
+    /// Prompt tokens that the server of the current attempt is expected to
+    /// read; zero if the servers of the service state no pace.
+    double tokens_to_read = 0;
     /// Time of the last byte received in the current attempt, or of its start.
     time_point last_byte_at{};
     /// Selects what the silence timer means: false, the server may have to be
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -285,7 +285,7 @@
     log(state.telemetry_sink, log_severity::info, "attempt",
         fmt::format(
             "request={} caller_id={} route={} attempt={} server={} "
-            "choice={} own={} peers={} left_ms={} rules={}{}{}",
+            "choice={} own={} peers={} left_ms={} rules={}{}{}{}",
             to_text(request.routed.id),
             field_text(request.routed.terms.caller_id),
             request.routed.terms.route, request.attempt_number,
@@ -293,7 +293,8 @@
             server.local_in_flight, remote_in_flight(state, server),
             to_ms(time_left), state.deployment->rules->version,
             resume_after ? fmt::format(" resume_after={}", *resume_after) : "",
-            copy_source ? " copy_from=" + copy_source->listed.id.value : ""));
+            copy_source ? " copy_from=" + copy_source->listed.id.value : "",
+            pace_text(state, request, server, at)));
     send(state.backend,
          dispatch{.attempt = {request.routed.id, request.attempt_number},
                   .server = request.current_server,
@@ -393,9 +394,8 @@
         eligible = find_eligible_servers(state, request, at);
     auto const load = total_load(state, request.routed.service);
     auto const choice =
-        decisions::select_server(eligible.candidates, mean_load(load),
-                                 shared_prefix_for(state, request, load, at),
-                                 state.options.server_choice, state.random());
+        choose_server(state, request, eligible.candidates, mean_load(load),
+                      shared_prefix_for(state, request, load, at), at);
     if (!choice)
     {
         auto cause = request.last_failure.detail.empty()
--- a/source/services/entry/server_paces.cpp
+++ b/source/services/entry/server_paces.cpp
@@ -2,7 +2,9 @@
 
 #include "common/digest.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
+#include <unordered_map>
 #include <utility>
 
 namespace bramleyarch::services
@@ -32,6 +34,37 @@
     return counter::load_out_of_range;
 }
 
+/// Returns whether a server of the service has stated its pace lately.
+bool states_pace(entry_state const& state, service_id const& service,
+                 time_point at)
+{
+    return std::ranges::any_of(
+        state.servers,
+        [&](auto const& entry)
+        {
+            return entry.second.listed.service == service &&
+                   decisions::has_stated_pace(state.server_model,
+                                              entry.second.hash, at);
+        });
+}
+
+/// Returns, by the hash of the server, the prompt tokens that servers have yet
+/// to read for requests of this router. They have read a prompt when they send
+/// the first byte after the head.
+std::unordered_map<std::uint64_t, double>
+unread_tokens(entry_state const& state)
+{
+    std::unordered_map<std::uint64_t, double> unread;
+    for (auto const& [id, request] : state.requests)
+    {
+        if (!request.current_server.empty() && request.attempt_bytes == 0 &&
+            request.tokens_to_read > 0)
+            unread[name_hash(request.current_server.value)] +=
+                request.tokens_to_read;
+    }
+    return unread;
+}
+
 } // namespace
 
 void record_load_report(entry_state& state, backend_server& server,
@@ -74,8 +107,7 @@
         return;
     bool const is_first = request.last_byte_at == request.attempt_started_at;
     auto const work =
-        is_first ? first_byte_base_tokens + request.routed.terms.prompt_tokens
-                 : 1;
+        is_first ? first_byte_base_tokens + request.tokens_to_read : 1;
     decisions::record_time(state.server_model,
                            name_hash(server.listed.service.value), server.hash,
                            is_first ? decisions::measured_time::first_byte
@@ -83,4 +115,54 @@
                            at - request.last_byte_at, work, at);
 }
 
+std::optional<decisions::server_choice>
+choose_server(entry_state& state, entry_request& request,
+              std::vector<decisions::server_candidate>& candidates, double mean,
+              std::optional<decisions::shared_prefix> const& prefix,
+              time_point at)
+{
+    auto const draw = state.random();
+    auto const& options = state.options;
+    request.tokens_to_read = 0;
+    if (!states_pace(state, request.routed.service, at))
+        return decisions::select_server(candidates, mean, prefix,
+                                        options.server_choice, draw);
+    auto const unread = unread_tokens(state);
+    for (auto& candidate : candidates)
+    {
+        auto const& model = state.server_model;
+        candidate.pace = decisions::pace_at(model, candidate.hash, at).percent /
+                         decisions::usual_pace_percent;
+        candidate.expected_load =
+            decisions::load_at(model, candidate.hash, candidate.load, at);
+        if (auto const found = unread.find(candidate.hash);
+            found != unread.end())
+            candidate.unread_tokens = found->second;
+    }
+    auto const& terms = request.routed.terms;
+    decisions::expected_work const work{.prompt_tokens = terms.prompt_tokens,
+                                        .answer_tokens =
+                                            terms.expected_answer_tokens,
+                                        .gap_target = terms.gap_target};
+    auto const choice = decisions::select_server_by_work(
+        candidates, mean, prefix, work, options.server_choice,
+        options.work_choice, draw);
+    if (choice)
+        request.tokens_to_read = decisions::tokens_to_read(
+            *choice, prefix, work, options.work_choice);
+    return choice;
+}
+
+std::string pace_text(entry_state const& state, entry_request const& request,
+                      backend_server const& server, time_point at)
+{
+    auto const pace = decisions::pace_at(state.server_model, server.hash, at);
+    if (pace.source != decisions::pace_source::stated &&
+        request.tokens_to_read <= 0)
+        return {};
+    return fmt::format(" pace={:.0f} pace_from={} pace_age_ms={} read={:.0f}",
+                       pace.percent, to_name(pace.source), to_ms(pace.age),
+                       request.tokens_to_read);
+}
+
 } // namespace bramleyarch::services
--- a/tests/unit/platform/dialects_test.cpp
+++ b/tests/unit/platform/dialects_test.cpp
@@ -147,6 +147,24 @@
     BOOST_TEST(routed.resume_offset == 12U);
 }
 
+// A hint beyond the maximum must not make a request look larger than it is.
+BOOST_AUTO_TEST_CASE(expected_answer_tokens_are_bounded_by_the_maximum)
+{
+    auto const expected = [](std::string hint, std::string count)
+    {
+        return route("/a/x", {valid_key,
+                              {"x-bramleyarch-length-hint", hint},
+                              {"x-bramleyarch-token-count", count}})
+            .value()
+            .terms.expected_answer_tokens;
+    };
+    BOOST_TEST(expected("50", "1460,80") == 50U);
+    BOOST_TEST(expected("500", "1460,80") == 80U);
+    BOOST_TEST(expected("long", "1460,80") == 80U);
+    BOOST_TEST(expected("500", "1460") == 500U);
+    BOOST_TEST(expected("", "") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(only_requests_that_have_not_run_get_guaranteeing_statuses)
 {
     auto const status = [](error_kind kind, outcome known)
--- a/tests/unit/services/entry/server_reports_test.cpp
+++ b/tests/unit/services/entry/server_reports_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <random>
 #include <set>
 
 using namespace bramleyarch;
@@ -63,4 +64,60 @@
     BOOST_TEST(sent[1].age_ms == sent[0].age_ms + 20U);
 }
 
+// A request must not be sent to a machine that peers found to be slow.
+BOOST_AUTO_TEST_CASE(servers_with_a_slow_machine_are_avoided)
+{
+    for (std::string const slow : {"s1", "s2"})
+    {
+        send(entry, peer_heartbeat_received{
+                        {.from = {"r2"},
+                         .domain = {"b"},
+                         .server_paces = {{name_hash("s1"), 100, 0},
+                                          {name_hash("s2"), 100, 0}}}});
+        test_kernel.advance(1ms);
+        send(entry, peer_heartbeat_received{
+                        {.from = {"r2"},
+                         .domain = {"b"},
+                         .server_paces = {{name_hash(slow), 400, 0}}}});
+        for (int i = 0; i < 10; ++i)
+        {
+            submit(idempotent);
+            BOOST_TEST((backend->sent.back().server.value != slow));
+            answer_last_attempt(200, "ok");
+        }
+        test_kernel.advance(3s);
+    }
+}
+
+// Deployments whose servers state no pace must be served as before, whatever
+// is measured.
+BOOST_AUTO_TEST_CASE(choices_without_a_stated_pace_are_those_by_load)
+{
+    add_server("s3", "b");
+    add_server("s4", "a");
+    publish_deployment();
+    std::mt19937_64 random{0}; // The seed of the fixture's options.
+    std::vector<decisions::server_candidate> servers;
+    for (auto const& [id, listed] : deployment.servers)
+        servers.push_back({.hash = name_hash(id.value),
+                           .slots = listed.slots,
+                           .own_domain = listed.domain.value == "a"});
+    for (std::uint64_t i = 0; i < 40; ++i)
+    {
+        request_terms terms{.streaming = true, .prompt_tokens = 20'000};
+        if (i % 2 == 0)
+            terms.prompt = {{100 + i, 9000}, {6, 300}};
+        submit(idempotent, 2, terms);
+        auto const chosen = decisions::select_server(
+            servers, static_cast<double>(i) / 4,
+            decisions::find_shared_prefix(terms.prompt), {}, random());
+        BOOST_REQUIRE(chosen);
+        auto& server = servers[chosen->index];
+        BOOST_TEST(name_hash(backend->sent.back().server.value) == server.hash);
+        server.load += 1;
+        test_kernel.advance(1ms * (1 + i % 5));
+        deliver(backend_head{backend->sent.back().attempt, 200, {}});
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
