Tests before the store's stand-in wait until servers are listed

Cause: a router is ready with its rules. Change: path_fixture and store_fleet wait for the watches of both groups.

--- a/tests/process/store_fleet.cpp
+++ b/tests/process/store_fleet.cpp
@@ -87,6 +87,16 @@
         if (!wait_ready(router, ready_limit))
             throw std::runtime_error{router.id + " is not ready"};
     }
+    // A router is ready with its rules. It knows its servers once it watches
+    // both groups.
+    auto const watches = static_cast<int>(2 * options.routers);
+    auto const end = std::chrono::steady_clock::now() + ready_limit;
+    while (test::call_count(standins.store, "/kv-watch") < watches)
+    {
+        if (std::chrono::steady_clock::now() >= end)
+            throw std::runtime_error{"a router does not know its servers"};
+        std::this_thread::sleep_for(poll_interval);
+    }
 }
 
 store_fleet::~store_fleet()
--- a/tests/unit/platform/path_fixture.hpp
+++ b/tests/unit/platform/path_fixture.hpp
@@ -109,6 +109,9 @@
     void start_and_wait_until_ready()
     {
         start();
+        // A router is ready with its rules. It knows its servers once it
+        // watches both groups.
+        run_until([this] { return call_count(fakes.store, "/kv-watch") >= 2; });
         run_until([this] { return is_ready(); });
     }
 
