State the priority of requests towards model servers

Servers order their waiting requests by a priority that was never sent, so that urgent requests waited behind others. With [shared] server_priorities = on, requests to model servers whose routes have different ranks state their rank, or their team's, as the priority. The default is off.

--- a/source/config/settings.cpp
+++ b/source/config/settings.cpp
@@ -227,7 +227,11 @@
             .rules_limit = milliseconds("rules_limit_ms"),
             .exposure_share = decimal("exposure_share"),
             .exposure_slack = decimal("exposure_slack"),
-            .rollback_limit = milliseconds("rollback_ms")};
+            .rollback_limit = milliseconds("rollback_ms"),
+            .server_priorities =
+                from_name<server_priority_mode>(
+                    text_of(r, section::shared, "server_priorities"))
+                    .value_or(server_priority_mode::off)};
 }
 
 settings settings_of(reading const& r)
--- a/source/config/settings.hpp
+++ b/source/config/settings.hpp
@@ -107,6 +107,21 @@
     ranking_policy policy = ranking_policy::bounded_rendezvous;
 };
 
+/// Whether requests state their priority towards model servers.
+enum class server_priority_mode : std::uint8_t
+{
+    off,
+    on,
+};
+
+constexpr auto enum_names(server_priority_mode)
+{
+    return std::array{
+        enum_name<server_priority_mode>{server_priority_mode::off, "off"},
+        enum_name<server_priority_mode>{server_priority_mode::on, "on"},
+    };
+}
+
 /// Limits that hold for all routers together; only in mode `store`.
 struct shared_limit_settings
 {
@@ -125,6 +140,7 @@
     double exposure_slack = 0;
     /// From the 50th bad answer of a version until it gets no more requests.
     duration rollback_limit{};
+    server_priority_mode server_priorities = server_priority_mode::off;
 };
 
 /// All settings; one member per section of the file.
--- a/source/config/settings_table.cpp
+++ b/source/config/settings_table.cpp
@@ -339,6 +339,13 @@
                 .default_text = "5000",
                 .text = "Time from the 50th bad answer of a version until it "
                         "gets no more requests."},
+    setting_row{.section = s::shared,
+                .key = "server_priorities",
+                .type = t::choice,
+                .default_text = "off",
+                .text = "Whether requests state their priority towards model "
+                        "servers whose routes have different ranks.",
+                .choices = names_of<server_priority_mode>},
     setting_row{.section = s::log,
                 .key = "level",
                 .type = t::choice,
--- a/source/services/entry/backend_dialect.hpp
+++ b/source/services/entry/backend_dialect.hpp
@@ -82,6 +82,9 @@
     /// Server from which the missing parts of the prompt's KV cache can be
     /// copied.
     std::optional<endpoint> copy_from;
+    /// Order among the requests that wait at the server, from 0, first, to
+    /// `decisions::last_server_priority`. std::nullopt: not stated.
+    std::optional<std::uint32_t> priority;
 };
 
 /// Functions that encode attempts for, and decode answers of, the backend
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -55,6 +55,10 @@
               std::optional<decisions::shared_prefix> const& prefix,
               time_point at);
 
+/// Returns the priority that the request states towards the server, if any.
+std::optional<std::uint32_t> priority_of(entry_state const& state,
+                                         entry_request const& request);
+
 /// Returns the inputs of the choice of `server` as fields of a log line, or an
 /// empty text if they did not include a pace.
 std::string pace_text(entry_state const& state, entry_request const& request,
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -309,6 +309,7 @@
     options.exposure = {.share = limits.exposure_share,
                         .slack = limits.exposure_slack,
                         .rollback = limits.rollback_limit};
+    options.server_priorities = limits.server_priorities;
 }
 
 entry_service make_entry_service(entry_options options)
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -47,6 +47,8 @@
     decisions::cold_share_options cold_share;
     decisions::server_choice_options server_choice;
     decisions::work_choice_options work_choice;
+    config::server_priority_mode server_priorities =
+        config::server_priority_mode::off;
     decisions::prompt_copy_options prompt_copy;
     decisions::hot_prompt_options hot_prompt;
     /// Answers that are not streams are buffered until they are complete, up to
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -280,6 +280,7 @@
         find_prompt_copy_source(state, request, server);
     attempt_parameters parameters{.time_left = time_left,
                                   .resume_after = resume_after};
+    parameters.priority = priority_of(state, request);
     if (copy_source)
         parameters.copy_from = copy_source->listed.address;
     log(state.telemetry_sink, log_severity::info, "attempt",
--- a/source/services/entry/server_paces.cpp
+++ b/source/services/entry/server_paces.cpp
@@ -1,6 +1,7 @@
 #include "services/entry/entry_parts.hpp"
 
 #include "common/digest.hpp"
+#include "decisions/server_priority.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -153,6 +154,16 @@
     return choice;
 }
 
+std::optional<std::uint32_t> priority_of(entry_state const& state,
+                                         entry_request const& request)
+{
+    if (state.options.server_priorities == config::server_priority_mode::off)
+        return std::nullopt;
+    return decisions::server_priority(*state.deployment->rules,
+                                      request.routed.service,
+                                      request.routed.terms.rank);
+}
+
 std::string pace_text(entry_state const& state, entry_request const& request,
                       backend_server const& server, time_point at)
 {
--- a/tests/unit/platform/dialects_test.cpp
+++ b/tests/unit/platform/dialects_test.cpp
@@ -205,7 +205,9 @@
         request, {.id = {"i-1"}},
         {.time_left = 1500ms,
          .resume_after = 8,
-         .copy_from = endpoint{"10.0.0.2", 81}});
+         .copy_from = endpoint{"10.0.0.2", 81},
+         .priority = 3});
+    BOOST_TEST(find_header(headers, "x-bramleyarch-request-priority") == "3");
     BOOST_TEST(find_header(headers, "kv-fetch") == "10.0.0.2:81");
     BOOST_TEST(find_header(headers, "x-bramleyarch-deadline-ms") == "1500");
     BOOST_TEST(find_header(headers, "x-bramleyarch-expect-instance") == "i-1");
