--- a/tests/unit/services/entry/fixture.hpp
+++ b/tests/unit/services/entry/fixture.hpp
@@ -59,6 +59,8 @@
         {"left", std::to_string(to_ms(parameters.time_left))}};
     if (parameters.resume_after)
         headers.push_back({"resume", std::to_string(*parameters.resume_after)});
+    if (parameters.priority)
+        headers.push_back({"priority", std::to_string(*parameters.priority)});
     if (parameters.copy_from)
         headers.push_back({"copy", parameters.copy_from->address});
     return headers;
--- a/tests/unit/services/entry/server_reports_test.cpp
+++ b/tests/unit/services/entry/server_reports_test.cpp
@@ -120,4 +120,25 @@
     }
 }
 
+// Priorities must reach the servers only where the setting says so.
+BOOST_AUTO_TEST_CASE(priorities_are_stated_where_the_setting_is_on)
+{
+    config::routing_rules rules{.version = 4};
+    rules.services[{"desk"}] = {.id = {"desk"},
+                                .engine = config::engine_rule{.slots = 6}};
+    rules.routes = {{.rank = 0, .shares = {{{"desk"}, 1}}},
+                    {.rank = 3, .shares = {{{"desk"}, 1}}}};
+    deployment.rules =
+        std::make_shared<config::routing_rules const>(std::move(rules));
+    publish_deployment();
+    submit(idempotent, 2, {.rank = 3});
+    BOOST_TEST(find_header(backend->sent.back().headers, "priority").empty());
+    send(entry, shared_limits_changed{
+                    {.retry_window = 10s,
+                     .load_factor = 2,
+                     .server_priorities = config::server_priority_mode::on}});
+    submit(idempotent, 2, {.rank = 3});
+    BOOST_TEST(find_header(backend->sent.back().headers, "priority") == "3");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
