Let requests wait while a service is short of room

With `[shared] waiting = ordered`, a request that arrives while the believed load of a service's usable servers is at or above their slots, and this router has used its share, waits in the service's queue. An attempt that ends lets the next one go; a check every 10 ms covers loads and time. What cannot be served in time is rejected as not run, with a Retry-After. Demands travel in the heartbeats. With `off`, the default, requests are sent as before, and no demand is reported.

A queued request now states its time to the first byte apart from the time that it holds a slot, since the objective of a stream counts the former.

Not measured under load yet.

--- a/source/common/counters.hpp
+++ b/source/common/counters.hpp
@@ -33,6 +33,9 @@
     queue_expired,
     retries,
     retries_denied,
+    requests_waited, ///< Waited before they were sent.
+    sent_after_waiting,
+    rejected_ahead, ///< Could not have been served in time.
     losses_retried,
     resumes,
     team_limited,
@@ -129,6 +132,9 @@
         row{c::queue_expired, "queue_expired"},
         row{c::retries, "retries"},
         row{c::retries_denied, "retries_denied"},
+        row{c::requests_waited, "requests_waited"},
+        row{c::sent_after_waiting, "sent_after_waiting"},
+        row{c::rejected_ahead, "rejected_ahead"},
         row{c::losses_retried, "losses_retried"},
         row{c::resumes, "resumes"},
         row{c::team_limited, "team_limited"},
--- a/source/config/settings.cpp
+++ b/source/config/settings.cpp
@@ -231,7 +231,10 @@
             .server_priorities =
                 from_name<server_priority_mode>(
                     text_of(r, section::shared, "server_priorities"))
-                    .value_or(server_priority_mode::off)};
+                    .value_or(server_priority_mode::off),
+            .waiting =
+                from_name<waiting_mode>(text_of(r, section::shared, "waiting"))
+                    .value_or(waiting_mode::off)};
 }
 
 settings settings_of(reading const& r)
--- a/source/config/settings.hpp
+++ b/source/config/settings.hpp
@@ -5,6 +5,7 @@
 #include "common/ids.hpp"
 #include "common/ranking_policy.hpp"
 #include "common/time.hpp"
+#include "common/waiting_mode.hpp"
 #include "config/fault.hpp"
 
 #include <cstdint>
@@ -141,6 +142,7 @@
     /// From the 50th bad answer of a version until it gets no more requests.
     duration rollback_limit{};
     server_priority_mode server_priorities = server_priority_mode::off;
+    waiting_mode waiting = waiting_mode::off;
 };
 
 /// All settings; one member per section of the file.
--- a/source/config/settings_table.cpp
+++ b/source/config/settings_table.cpp
@@ -346,6 +346,14 @@
                 .text = "Whether requests state their priority towards model "
                         "servers whose routes have different ranks.",
                 .choices = names_of<server_priority_mode>},
+    setting_row{.section = s::shared,
+                .key = "waiting",
+                .type = t::choice,
+                .default_text = "off",
+                .text = "What a router does while a service is short of room: "
+                        "send each request at once, or let requests wait and "
+                        "send the most urgent first.",
+                .choices = names_of<waiting_mode>},
     setting_row{.section = s::log,
                 .key = "level",
                 .type = t::choice,
--- a/source/decisions/capacity_share.cpp
+++ b/source/decisions/capacity_share.cpp
@@ -66,7 +66,7 @@
 }
 
 bool is_heard(capacity_shares const& shares, router_id const& id,
-              listed_router const& router)
+              known_router const& router)
 {
     return *router.domain == shares.own_domain
                ? shares.peers.contains(id)
@@ -146,12 +146,12 @@
 void set_routers(capacity_shares& shares, std::vector<router_id> const& others,
                  time_point at)
 {
-    std::map<router_id, listed_router> routers;
+    std::map<router_id, known_router> routers;
     for (auto const& id : others)
     {
         auto const known = shares.routers.find(id);
         routers.emplace(id, known == shares.routers.end()
-                                ? listed_router{.listed_at = at}
+                                ? known_router{.listed_at = at}
                                 : known->second);
     }
     shares.routers = std::move(routers);
--- a/source/decisions/capacity_share.hpp
+++ b/source/decisions/capacity_share.hpp
@@ -60,7 +60,7 @@
 };
 
 /// A router of the fleet.
-struct listed_router
+struct known_router
 {
     time_point listed_at{};
     std::optional<domain_id> domain; ///< Known once it was heard of.
@@ -90,7 +90,7 @@
     /// Summed demands of each other domain.
     std::map<domain_id, received_demands> domains;
     /// The other routers of the fleet.
-    std::map<router_id, listed_router> routers;
+    std::map<router_id, known_router> routers;
     /// Own demands sent within `settle`, by service; the first is older, or the
     /// first ever.
     std::unordered_map<std::uint64_t, std::deque<sent_demand>> sent;
--- a/source/decisions/waiting_queue.cpp
+++ b/source/decisions/waiting_queue.cpp
@@ -69,7 +69,7 @@
 /// `sent`.
 bool is_timely(waiting_request const& request, time_point sent)
 {
-    return sent + request.work <= request.objective;
+    return sent + request.first_byte <= request.objective;
 }
 
 /// Returns the effect of the work: requests that need less go first.
@@ -96,8 +96,8 @@
 {
     auto const& options = queue.options;
     bool const timely = is_timely(request, at);
-    auto const limit = timely ? request.objective : request.deadline;
-    auto const slack = limit - at - request.work;
+    auto const slack = timely ? request.objective - at - request.first_byte
+                              : request.deadline - at - request.work;
     return -options.rank_step * request.rank +
            (timely ? 0 : std::log(options.late_value)) -
            // A caller that was told to wait has no slack left to give.
--- a/source/decisions/waiting_queue.hpp
+++ b/source/decisions/waiting_queue.hpp
@@ -84,7 +84,10 @@
     std::uint64_t caller = 0; ///< Hash of the caller's id of the request.
     std::uint32_t rank = 0;   ///< 0 is the most urgent.
     duration work{};          ///< Expected time that it holds a slot.
-    std::size_t bytes = 0;    ///< Of its body.
+    /// Expected time from sending to what the objective counts: the first byte
+    /// of the answer.
+    duration first_byte{};
+    std::size_t bytes = 0; ///< Of its body.
     /// Arrival; the first try of a caller that returned when told.
     time_point since{};
     time_point objective{};
--- a/source/services/entry/endings.cpp
+++ b/source/services/entry/endings.cpp
@@ -45,6 +45,7 @@
     if (auto* const server = find_current_server(state, request);
         server && server->local_in_flight > 0)
         --server->local_in_flight;
+    record_attempt_end(state, ctx, request);
     request.current_server = {};
 }
 
@@ -115,6 +116,7 @@
 {
     if (!request.current_server.empty())
         release_attempt(state, ctx, request);
+    remove_from_waiting(state, request);
     cancel(ctx, request.silence_timer);
     cancel(ctx, request.deadline_timer);
     auto const id = request.routed.id;
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -25,6 +25,11 @@
 /// Updates the list of servers from the current deployment.
 void update_servers(entry_state& state, time_point at);
 
+/// Returns whether the server may get requests of the service, apart from what
+/// changes with time.
+bool is_in_use(entry_state const& state, service_id const& service,
+               backend_server const& server);
+
 /// Returns the server of the request's current attempt, or nullptr if the
 /// deployment no longer lists it.
 backend_server* find_current_server(entry_state& state,
@@ -137,6 +142,42 @@
 void send_attempt(entry_state& state, entry_context& ctx,
                   entry_request& request);
 
+/// Returns whether the request waits, or has failed and was removed, because
+/// its service is short of room; false if it is to be sent now. Never waits
+/// with `waiting_mode::off`.
+bool must_wait(entry_state& state, entry_context& ctx, entry_request& request);
+
+/// Sends the requests of a service that wait and may be sent now, and rejects
+/// those that cannot be served in time.
+void send_waiting(entry_state& state, entry_context& ctx,
+                  service_id const& service);
+
+/// Takes a request that is removed out of its queue.
+void remove_from_waiting(entry_state& state, entry_request const& request);
+
+/// Rejects a request that still waits at its deadline, and removes it. Returns
+/// false if it does not wait.
+bool reject_expired_waiting(entry_state& state, entry_context& ctx,
+                            entry_request& request);
+
+/// Rejects all requests that wait: this router stops.
+void reject_all_waiting(entry_state& state, entry_context& ctx);
+
+/// Records how long the current attempt took, and lets others go.
+void record_attempt_end(entry_state& state, entry_context& ctx,
+                        entry_request const& request);
+
+/// Records the demands of another router, or of its domain.
+void record_demands(entry_state& state, entry_context& ctx,
+                    decisions::peer_heartbeat const& heartbeat);
+
+/// Records the list of the other routers.
+void record_fleet(entry_state& state, time_point at);
+
+/// Adds the demands at this router and in its domain to a report.
+void add_demands(entry_state& state, entry_context& ctx,
+                 local_load_report& report);
+
 /// Returns whether and how the request is sent now. A stream that goes on
 /// elsewhere is sent in any case, since it would be cut off otherwise.
 decisions::stop_admission admission_of(entry_state const& state,
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -80,6 +80,8 @@
     if (!request)
         return;
     request->deadline_timer = 0;
+    if (reject_expired_waiting(state, ctx, *request))
+        return;
     bool const is_stopped =
         state.end_by && *state.end_by < request->routed.deadline;
     auto const limit = is_stopped ? *state.end_by : request->routed.deadline;
@@ -129,6 +131,7 @@
                                message.heartbeat, now(ctx));
     apply_rollout_evidence(state, message.heartbeat, now(ctx));
     record_peer_paces(state, message.heartbeat, now(ctx));
+    record_demands(state, ctx, message.heartbeat);
 }
 
 /// Forwards a crash that was not known yet, so that it also reaches routers
@@ -176,10 +179,11 @@
         send(state.peers_service, gossip_part_answer{received.answer});
 }
 
-void handle(entry_state& state, entry_context&, fleet_changed message)
+void handle(entry_state& state, entry_context& ctx, fleet_changed message)
 {
     state.other_routers = std::move(message.others);
     update_rollout_routers(state);
+    record_fleet(state, now(ctx));
 }
 
 void handle(entry_state& state, entry_context&,
@@ -195,6 +199,7 @@
     state.draining = true;
     state.end_by = message.end_by;
     state.stop_began = now(ctx);
+    reject_all_waiting(state, ctx);
     if (!state.end_by)
         return;
     for (auto& [id, request] : state.requests)
@@ -238,6 +243,7 @@
     }
     check_rollouts(state, report, now(ctx));
     report.paces = decisions::paces_to_send(state.server_model, now(ctx));
+    add_demands(state, ctx, report);
     send(state.peers_service, std::move(report));
     if (++state.ticks % ticks_per_flush != 0)
         return;
@@ -260,6 +266,11 @@
     apply_rollout_status(state, message.status, now(ctx));
 }
 
+void handle(entry_state& state, entry_context& ctx, waiting_due const& message)
+{
+    send_waiting(state, ctx, message.service);
+}
+
 /// Ignores the messages that only occur in fleets whose servers have owners.
 template <class Message>
 void handle(entry_state&, entry_context&, Message const&)
@@ -270,6 +281,7 @@
 {
     state.random.seed(state.options.seed);
     state.remote_loads.options = state.options.remote_loads;
+    state.waiting.shares.own_domain = state.options.domain;
     connect(state.telemetry_sink, *ctx.names);
     state.backend =
         ctx.names->find<backend_message>(to_name(service_name::backend));
@@ -310,6 +322,7 @@
                         .slack = limits.exposure_slack,
                         .rollback = limits.rollback_limit};
     options.server_priorities = limits.server_priorities;
+    options.waiting = limits.waiting;
 }
 
 entry_service make_entry_service(entry_options options)
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -19,6 +19,7 @@
 #include "kernel/service.hpp"
 #include "services/entry/backend_dialect.hpp"
 #include "services/entry/rollout_parts.hpp"
+#include "services/entry/waiting.hpp"
 #include "services/messages/backend.hpp"
 #include "services/messages/peers.hpp"
 #include "services/messages/routing.hpp"
@@ -96,6 +97,7 @@
     /// Interval between reports of local loads to the other routers.
     duration report_interval = std::chrono::milliseconds{250};
     decisions::remote_loads_options remote_loads;
+    waiting_mode waiting = waiting_mode::off;
 };
 
 /// A backend server as this router sees it.
@@ -178,6 +180,7 @@
     /// Set while the current attempt is evidence on a rollout.
     std::optional<rollout_attempt> rollout;
     error last_failure{};
+    waiting_stage waiting = waiting_stage::none;
     kernel::timer_id deadline_timer = 0;
     kernel::timer_id silence_timer = 0;
 };
@@ -218,6 +221,7 @@
     telemetry telemetry_sink;
     std::mt19937_64 random;
     decisions::answer_times answer_times;
+    waiting_state waiting;
     int ticks = 0;
     bool draining = false;
     /// Time by which a planned stop ends, while there is one.
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -112,8 +112,8 @@
                      id) != request.tried_servers.end();
 }
 
-/// Returns whether the server may get requests of the service, apart from what
-/// changes with time.
+} // namespace
+
 bool is_in_use(entry_state const& state, service_id const& service,
                backend_server const& server)
 {
@@ -123,6 +123,9 @@
            !state.deployment->taken_out.contains(server.listed.domain);
 }
 
+namespace
+{
+
 bool is_eligible(entry_state const& state, entry_request const& request,
                  backend_server const& server, time_point at)
 {
@@ -389,6 +392,8 @@
     }
     if (request.attempt_number == 0)
         request.routed.service = choose_service(request, *state.deployment);
+    if (must_wait(state, ctx, request))
+        return;
     choose_version(state, request, at);
     auto eligible = find_eligible_servers(state, request, at);
     if (eligible.servers.empty() && leave_new_version(request))
@@ -425,6 +430,7 @@
     if (auto* const server = find_current_server(state, request);
         server && server->local_in_flight > 0)
         --server->local_in_flight;
+    record_attempt_end(state, ctx, request);
     request.current_server = {};
 }
 
--- a/source/services/messages/routing.hpp
+++ b/source/services/messages/routing.hpp
@@ -123,15 +123,21 @@
     config::rollout_status status;
 };
 
-using routing_message =
-    std::variant<submit_request, cancel_request, answer_bytes_consumed,
-                 owner_reply_received, config_changed, members_changed,
-                 loads_changed, demand_changed, quarantine_update, link_lost,
-                 drain_started, status_query, routing_tick, request_expired,
-                 idle_query, request_check_due, link_opened, deployment_changed,
-                 attempt_event, peer_heartbeat_received,
-                 peer_request_crash_received, peer_request_answer_received,
-                 peer_prompt_crash_received, peer_part_answer_received,
-                 fleet_changed, shared_limits_changed, rollout_status_known>;
+/// Delivered by the entry service's own timers while requests of the service
+/// wait.
+struct waiting_due
+{
+    service_id service;
+};
+
+using routing_message = std::variant<
+    submit_request, cancel_request, answer_bytes_consumed, owner_reply_received,
+    config_changed, members_changed, loads_changed, demand_changed,
+    quarantine_update, link_lost, drain_started, status_query, routing_tick,
+    request_expired, idle_query, request_check_due, link_opened,
+    deployment_changed, attempt_event, peer_heartbeat_received,
+    peer_request_crash_received, peer_request_answer_received,
+    peer_prompt_crash_received, peer_part_answer_received, fleet_changed,
+    shared_limits_changed, rollout_status_known, waiting_due>;
 
 } // namespace bramleyarch::services
--- a/source/services/routing/routing_service.cpp
+++ b/source/services/routing/routing_service.cpp
@@ -145,7 +145,8 @@
     std::same_as<Message, peer_part_answer_received> ||
     std::same_as<Message, shared_limits_changed> ||
     std::same_as<Message, fleet_changed> ||
-    std::same_as<Message, rollout_status_known>
+    std::same_as<Message, rollout_status_known> ||
+    std::same_as<Message, waiting_due>
 void handle(routing_state&, routing_context&, Message const&) {}
 
 void receive_routing(routing_state& state, routing_context& ctx,
--- a/tests/unit/decisions/waiting_queue_load.hpp
+++ b/tests/unit/decisions/waiting_queue_load.hpp
@@ -102,6 +102,7 @@
                              .caller = id,
                              .rank = t.rank,
                              .work = from_ms(t.work),
+                             .first_byte = from_ms(t.work),
                              .bytes = 100,
                              .since = since,
                              .objective = since + from_ms(t.objective),
--- a/tests/unit/decisions/waiting_queue_test.cpp
+++ b/tests/unit/decisions/waiting_queue_test.cpp
@@ -24,6 +24,7 @@
             .caller = id,
             .rank = rank,
             .work = 25ms,
+            .first_byte = 25ms,
             .bytes = 100,
             .since = since,
             .objective = since + 150ms,
@@ -142,6 +143,7 @@
             auto r = make_request(i, static_cast<std::uint32_t>(draw(3)),
                                   origin, "t" + std::to_string(i));
             r.work = std::chrono::milliseconds{10 + draw(50)};
+            r.first_byte = r.work;
             r.objective = origin + std::chrono::milliseconds{40 + draw(160)};
             r.deadline = r.objective + 300ms;
             requests.push_back(r);
@@ -208,6 +210,7 @@
     record_work(queue, {"t"}, 25ms, origin);
     auto slow = make_request(3);
     slow.work = 35ms;
+    slow.first_byte = 35ms;
     slow.objective += 10ms;
     enqueue(queue, make_request(1, 2), six_slots, origin, 1);
     enqueue(queue, slow, six_slots, origin, 1);
@@ -338,6 +341,7 @@
                              "t" + std::to_string(draw(3)));
             request.caller = draw(60);
             request.work = std::chrono::milliseconds{draw(80)};
+            request.first_byte = request.work / 2;
             request.objective = at + std::chrono::milliseconds{draw(300)};
             request.deadline = request.objective + 500ms;
             switch (draw(5))
