Waiting requests: limit estimates, hear demands while off

An estimate of the work from a service's mean could exceed the time limit of a long stream and reject it; the work now counts for at most half of the limit. Demands are recorded with the setting off too: after a reload to `ordered`, routers that were listed long before and not heard of were taken to be gone, and their parts used. A test covers requests that are sent beyond the share when their slack is used up.

--- a/source/services/entry/waiting.cpp
+++ b/source/services/entry/waiting.cpp
@@ -36,6 +36,10 @@
 constexpr double min_work_ratio = 0.25;
 constexpr double max_work_ratio = 4;
 
+/// The work counts for at most this part of a request's time limit, so that an
+/// estimate alone does not lead to a rejection.
+constexpr double max_limit_part = 0.5;
+
 /// Window of the arrivals that are reported.
 constexpr double arrivals_window_s = 10;
 
@@ -141,8 +145,10 @@
 {
     auto const ratio =
         waiting.tokens > 0 ? request.routed.work / waiting.tokens : 1;
-    return scaled(waiting.hold,
-                  std::clamp(ratio, min_work_ratio, max_work_ratio));
+    auto const work =
+        scaled(waiting.hold, std::clamp(ratio, min_work_ratio, max_work_ratio));
+    auto const limit = request.routed.deadline - request.routed.terms.received;
+    return std::min(work, scaled(limit, max_limit_part));
 }
 
 decisions::waiting_request describe(entry_state const& state,
@@ -454,8 +460,8 @@
 void record_demands(entry_state& state, entry_context& ctx,
                     decisions::peer_heartbeat const& heartbeat)
 {
-    if (state.options.waiting == waiting_mode::off)
-        return;
+    // Also while the queues are off: they may be turned on by a reload, and
+    // routers that were not heard of would be taken to be gone.
     decisions::apply_demands(state.waiting.shares, heartbeat, now(ctx));
 }
 
--- a/tests/unit/services/entry/waiting_test.cpp
+++ b/tests/unit/services/entry/waiting_test.cpp
@@ -176,6 +176,19 @@
     BOOST_TEST(report.domain_demands[0].waiting >= 200U);
 }
 
+// Guards against requests that wait past their objective while servers could
+// take them.
+BOOST_FIXTURE_TEST_CASE(request_without_slack_is_sent_if_servers_bear_it,
+                        waiting_fixture)
+{
+    report_loads(7);
+    auto const waiting = fill();
+    test_kernel.advance(80ms);
+    BOOST_TEST(!was_sent(waiting));
+    test_kernel.advance(20ms);
+    BOOST_TEST(was_sent(waiting));
+}
+
 // Guards against memory that grows with the requests that wait.
 BOOST_FIXTURE_TEST_CASE(queue_is_bounded, waiting_fixture)
 {
