--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -82,6 +82,19 @@
     BOOST_TEST(!faults_of(valid + "[limits]\nmax_connections =\n").empty());
 }
 
+// Guards against queues that are in use where the settings don't ask for them.
+BOOST_AUTO_TEST_CASE(requests_wait_only_where_the_settings_say_so)
+{
+    auto const mode = [](std::string const& text)
+    { return parse_settings(valid + text, "r1.ini").value.shared.waiting; };
+    BOOST_TEST((mode("") == waiting_mode::off));
+    BOOST_TEST((mode("[shared]\nwaiting =\n") == waiting_mode::off));
+    BOOST_TEST(
+        (mode("[shared]\nwaiting = ordered\n") == waiting_mode::ordered));
+    BOOST_TEST(!parse_settings(valid + "[shared]\nwaiting = on\n", "r1.ini")
+                    .faults.empty());
+}
+
 // Guards against a router that does not start where a limit is a fraction, as
 // in a deployment that is played at a part of its size.
 BOOST_AUTO_TEST_CASE(shared_limits_may_be_fractions)
