Add tests of callers that hold a router's memory

Request bodies that are being received, trailers and unread answers are bounded for each connection only, so that a crowd of callers exceeds the memory of a small router. The setting `memory_mb` is read and has no effect yet.

--- a/source/config/settings.cpp
+++ b/source/config/settings.cpp
@@ -61,7 +61,9 @@
     if (value == part->second.not_found())
         return std::nullopt;
     auto const& text = value->second.data();
-    if (text.empty() && row.section == section::shared)
+    bool const from_template =
+        row.section == section::shared || row.key == "memory_mb";
+    if (text.empty() && from_template)
         return std::nullopt;
     return text;
 }
@@ -181,7 +183,8 @@
             .silence_limit = time("silence_limit_ms"),
             .drain_grace = time("drain_grace_ms"),
             .drain_limit = time("drain_limit_ms"),
-            .timeline_events = number("timeline_events")};
+            .timeline_events = number("timeline_events"),
+            .memory_mb = number("memory_mb")};
 }
 
 listen_settings listen_of(reading const& r)
--- a/source/config/settings.hpp
+++ b/source/config/settings.hpp
@@ -101,6 +101,7 @@
     duration drain_grace{};
     duration drain_limit{};
     std::uint32_t timeline_events = 0;
+    std::uint32_t memory_mb = 0; ///< MiB; 0: not stated.
 };
 
 struct routing_settings
--- a/tests/process/store_fleet.cpp
+++ b/tests/process/store_fleet.cpp
@@ -49,15 +49,17 @@
         "[platform]\nmode = store\nendpoint = 127.0.0.1:{}\n"
         "[shared]\nretry_ratio = 0.2\nretry_slack = 50\nretry_window_s = 10\n"
         "cold_overage = 1.5\ncold_slack = 5\nstop_limit_s = {}\n"
-        "load_factor = 2\nleaving_limit_ms = 2000\nrules_limit_ms = 2000\n",
+        "load_factor = 2\nleaving_limit_ms = 2000\nrules_limit_ms = 2000\n{}",
         router.id, router.callers, router.admin, router.link, router.heartbeat,
-        fleet.standins.store_port, options.stop_limit.count());
+        fleet.standins.store_port, options.stop_limit.count(),
+        options.more_settings);
 }
 
 } // namespace
 
 store_fleet::store_fleet(store_fleet_options const& options)
-    : folder{make_folder()}, stream_routes{options.stream_routes}
+    : folder{make_folder()}, stream_routes{options.stream_routes},
+      caller_limits{options.caller_limits}
 {
     for (std::size_t i = 0; i < options.servers; ++i)
     {
@@ -136,10 +138,11 @@
     test::put(
         fleet.standins.store, "op/config",
         fmt::format(
-            R"({{"Version":{},"Routes":[{}{},{},{},{}],)"
+            R"({{"Version":{},"Limits":{{{}}},"Routes":[{}{},{},{},{}],)"
             R"("Services":[{{"Name":"desk"}}],)"
             R"("Tenants":[{{"Name":"team","ApiKeys":["key"]}}]}})",
-            fleet.version, streams, route("chat", "streaming", 10'000, 2),
+            fleet.version, fleet.caller_limits, streams,
+            route("chat", "streaming", 10'000, 2),
             route("book", "unsafe", 1'500, 1), route("look", "safe", 1'500, 2),
             route(fmt::format("added-{}", fleet.version), "safe", 500, 1)));
 }
--- a/tests/process/store_fleet.hpp
+++ b/tests/process/store_fleet.hpp
@@ -39,6 +39,8 @@
     std::vector<std::string> stream_routes;
     std::string program; ///< Of the routers; empty: the one of this build.
     std::string version; ///< Of the servers; empty: they state none.
+    std::string more_settings; ///< Text at the end of the settings files.
+    std::string caller_limits; ///< Members of `Limits` of the rules, JSON.
 };
 
 struct store_fleet
@@ -54,6 +56,7 @@
     std::vector<store_router> routers;
     revision version = 0; ///< Of the configuration in force.
     std::vector<std::string> stream_routes;
+    std::string caller_limits;
     bool keep_logs = false;
 };
 
--- a/tests/unit/platform/standins.cpp
+++ b/tests/unit/platform/standins.cpp
@@ -242,6 +242,9 @@
     auto const gap = query_time(*connection, "gap", server.event_gap);
     auto const begin =
         std::chrono::steady_clock::now() + query_time(*connection, "wait", 0ms);
+    auto const size = query_value(*connection, "bytes");
+    auto const data = size.empty() ? std::string{"token"}
+                                   : std::string(std::stoul(size), 'x');
     response.set(http::field::content_type, "text/event-stream");
     if (!co_await send_stream_head(connection, std::move(response)))
         co_return false;
@@ -251,7 +254,7 @@
         auto const due = begin + id * gap;
         co_await sleep(timer, due - std::chrono::steady_clock::now());
         if (!co_await send_chunk(connection, "id: " + std::to_string(id) +
-                                                 "\ndata: token\n\n"))
+                                                 "\ndata: " + data + "\n\n"))
             co_return false;
     }
     if (connection->gone)
--- a/tests/unit/platform/standins.hpp
+++ b/tests/unit/platform/standins.hpp
@@ -81,8 +81,9 @@
 /// Stand-in for a backend server. Answers with its id and the body of the
 /// request. A request whose path ends in `/chat/N` gets a stream of N events.
 /// Its query can replace the time between events (`gap`, in ms) and delay the
-/// stream (`wait`, in ms); with `reject`, the first server that gets it waits
-/// for so many ms and says that it did not run it.
+/// stream (`wait`, in ms) or make its events larger (`bytes` of data); with
+/// `reject`, the first server that gets it waits for so many ms and says that
+/// it did not run it.
 struct server_standin
 {
     std::string id;
