Bound the memory that a router holds for its callers

Bodies that are being received, trailers and unread answers were bounded for each connection only. Add one account per process, counted by capacity, with a budget from `memory_mb`, the machine or RLIMIT_AS. As it fills, the server stops reading larger unfinished requests, then refuses new ones (503 with Retry-After), and closes callers without progress for `stalled_after_ms`, those that hold most for longest first. Answers' credit follows from the budget. An idle connection is closed for a new one when all are in use. Chunk extensions and trailers beyond the size of a head are refused.

Trailers of requests were appended to the checked headers and forwarded; they are dropped now. Kept connections held the memory of their largest message in the queue; it is freed. A connection whose reading was paused could get one more read in the same turn of the loop.

--- a/source/common/counters.hpp
+++ b/source/common/counters.hpp
@@ -25,6 +25,11 @@
     http_rejected,
     connections_accepted,
     connections_rejected,
+    callers_paused,         ///< For want of memory, each time.
+    rejected_for_memory,    ///< New requests.
+    stalled_bodies_refused, ///< While memory was short.
+    stalled_answers_closed, ///< While memory was short.
+    idle_callers_closed,    ///< For want of connections.
     offers_sent,
     offers_accepted,
     offers_redirected,
@@ -124,6 +129,11 @@
         row{c::http_rejected, "http_rejected"},
         row{c::connections_accepted, "connections_accepted"},
         row{c::connections_rejected, "connections_rejected"},
+        row{c::callers_paused, "callers_paused"},
+        row{c::rejected_for_memory, "rejected_for_memory"},
+        row{c::stalled_bodies_refused, "stalled_bodies_refused"},
+        row{c::stalled_answers_closed, "stalled_answers_closed"},
+        row{c::idle_callers_closed, "idle_callers_closed"},
         row{c::offers_sent, "offers_sent"},
         row{c::offers_accepted, "offers_accepted"},
         row{c::offers_redirected, "offers_redirected"},
--- a/source/config/settings.cpp
+++ b/source/config/settings.cpp
@@ -184,7 +184,9 @@
             .drain_grace = time("drain_grace_ms"),
             .drain_limit = time("drain_limit_ms"),
             .timeline_events = number("timeline_events"),
-            .memory_mb = number("memory_mb")};
+            .memory_mb = number("memory_mb"),
+            .stalled_after = time("stalled_after_ms"),
+            .min_progress_bytes = number("min_progress_bytes")};
 }
 
 listen_settings listen_of(reading const& r)
--- a/source/config/settings.hpp
+++ b/source/config/settings.hpp
@@ -102,6 +102,8 @@
     duration drain_limit{};
     std::uint32_t timeline_events = 0;
     std::uint32_t memory_mb = 0; ///< MiB; 0: not stated.
+    duration stalled_after{};
+    std::uint32_t min_progress_bytes = 0;
 };
 
 struct routing_settings
--- a/source/http/message.cpp
+++ b/source/http/message.cpp
@@ -29,6 +29,9 @@
 int on_header_name(http_parser* parser, char const* at, std::size_t size)
 {
     auto& p = self(parser);
+    // Trailers come after the head and are dropped.
+    if (p.state != parse_state::head)
+        return go_on;
     if (!std::exchange(p.reading_name, true))
         p.head.headers.emplace_back();
     p.head.headers.back().name += to_lower({at, size});
@@ -39,8 +42,7 @@
 {
     auto& p = self(parser);
     p.reading_name = false;
-    // Trailers come after the head and are dropped.
-    if (!p.head.headers.empty())
+    if (p.state == parse_state::head && !p.head.headers.empty())
         p.head.headers.back().value.append(at, size);
     return go_on;
 }
@@ -69,11 +71,18 @@
 int on_body(http_parser* parser, char const* at, std::size_t size)
 {
     auto& p = self(parser);
+    p.body_bytes += size;
     if (p.on_body)
         p.on_body({at, size});
     return go_on;
 }
 
+int on_chunk(http_parser* parser)
+{
+    ++self(parser).chunks;
+    return go_on;
+}
+
 int on_complete(http_parser* parser)
 {
     auto& p = self(parser);
@@ -100,6 +109,7 @@
     callbacks.on_header_value = on_header_value;
     callbacks.on_headers_complete = on_head_complete;
     callbacks.on_body = on_body;
+    callbacks.on_chunk_header = on_chunk;
     callbacks.on_message_complete = on_complete;
     return callbacks;
 }
@@ -111,10 +121,24 @@
     p.state = parse_state::head;
     p.head = {};
     p.head_bytes = 0;
+    p.framed_bytes = p.body_bytes = p.chunks = 0;
     p.reading_name = false;
     p.without_body = false;
 }
 
+/// Largest size line of a chunk without extensions, and the end of its data.
+constexpr std::size_t chunk_frame_bytes = 20;
+
+/// Returns whether a request has more bytes of extensions and trailers than its
+/// head may have.
+bool has_too_much_framing(message_parser const& p)
+{
+    if (p.kind != message_kind::request || !p.head.chunked)
+        return false;
+    return p.framed_bytes >
+           p.body_bytes + p.chunks * chunk_frame_bytes + p.max_head_bytes;
+}
+
 /// A transfer coding that the parser does not undo would pass for a body.
 bool has_unknown_coding(message_head const& head)
 {
@@ -155,6 +179,12 @@
         p.head_too_large = true;
         p.state = parse_state::failed;
     }
+    p.framed_bytes += was_head ? 0 : used;
+    if (p.state == parse_state::body && has_too_much_framing(p))
+    {
+        p.head_too_large = true;
+        p.state = parse_state::failed;
+    }
     return used;
 }
 
--- a/source/http/message.hpp
+++ b/source/http/message.hpp
@@ -53,6 +53,11 @@
     std::size_t head_bytes = 0;
     std::size_t max_head_bytes = 0;
     bool head_too_large = false;
+    /// Bytes of a request's body as they came, those of the body itself, and
+    /// chunks begun: what is beyond tells of extensions and trailers.
+    std::size_t framed_bytes = 0;
+    std::size_t body_bytes = 0;
+    std::size_t chunks = 0;
     /// The response answers a HEAD request, so it has no body.
     bool without_body = false;
     bool keep_alive = false; ///< Of the last complete message.
@@ -62,6 +67,8 @@
 };
 
 /// Sets `p` up for the first message of a connection.
+/// Chunk extensions and trailers are dropped; a request with more of them than
+/// a head may have bytes fails with `head_too_large`.
 void start(message_parser& p, message_kind kind, std::size_t max_head_bytes);
 
 /// Parses; returns how many bytes belong to the current message. Fewer than
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "http/headers.hpp"
 #include "http/server_io.hpp"
+#include "http/server_memory.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -46,17 +47,12 @@
     return text + "\r\n";
 }
 
-bool is_unfinished(caller_connection const& c)
-{
-    return c.exchange == 0 && !c.refused &&
-           (c.parser.state == parse_state::body || c.parser.head_bytes > 0);
-}
-
 } // namespace
 
 void server_deleter::operator()(server* s) const
 {
     *s->alive = false;
+    net::cancel(*s->loop, s->memory.timer);
     for (auto& [serial, c] : s->connections)
     {
         net::cancel(*s->loop, c->timer);
@@ -143,6 +139,8 @@
     c->close_stated = closes(s, *c);
     net::write(*c->socket, head_text(s, *c));
     restart_timer(s, *c);
+    note_wait(*c);
+    update_account(s, *c);
 }
 
 void send_bytes(server& s, exchange_id id, std::string_view bytes)
@@ -161,16 +159,21 @@
         return;
     }
     if (c->body_queued == 0)
+    {
         restart_timer(s, *c);
+        note_wait(*c);
+    }
     c->body_queued += bytes.size();
     if (!c->chunked)
     {
         net::write(*c->socket, bytes);
+        update_account(s, *c);
         return;
     }
     auto text = fmt::format("{:x}\r\n", bytes.size());
     text.append(bytes).append("\r\n");
     net::write(*c->socket, text);
+    update_account(s, *c);
 }
 
 void end_answer(server& s, exchange_id id)
@@ -218,6 +221,11 @@
                : s.connections.at(found->second)->body_queued;
 }
 
+std::size_t held_bytes(server const& s)
+{
+    return s.memory.held;
+}
+
 std::size_t open_exchanges(server const& s)
 {
     return s.exchanges.size();
--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -3,12 +3,15 @@
 /// for further requests, which are handed out one at a time.
 #pragma once
 
+#include "common/enum_names.hpp"
 #include "common/error.hpp"
 #include "common/ids.hpp"
 #include "common/request.hpp"
 #include "common/time.hpp"
+#include "decisions/memory_budget.hpp"
 #include "net/loop.hpp"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -69,9 +72,43 @@
 {
 };
 
+/// Why the server acted on a connection to save memory or descriptors.
+enum class relief : std::uint8_t
+{
+    reading_paused,  ///< Its unfinished request is not read for a time.
+    request_refused, ///< Its new request was refused.
+    body_stalled,    ///< It stopped sending an unfinished request: refused.
+    answer_stalled,  ///< It stopped reading its answer: closed.
+    idle_closed,     ///< It was idle while another caller found no room.
+};
+
+constexpr auto enum_names(relief)
+{
+    using row = enum_name<relief>;
+    return std::array{
+        row{relief::reading_paused, "reading_paused"},
+        row{relief::request_refused, "request_refused"},
+        row{relief::body_stalled, "body_stalled"},
+        row{relief::answer_stalled, "answer_stalled"},
+        row{relief::idle_closed, "idle_closed"},
+    };
+}
+
+/// Memory or descriptors are short. Sizes in bytes.
+struct relief_taken
+{
+    relief what = relief::reading_paused;
+    std::uint32_t address = 0; ///< IPv4 address of the caller.
+    std::size_t by_caller = 0; ///< Held for the connection.
+    std::size_t by_address = 0;
+    std::size_t held = 0; ///< For all connections.
+    duration stalled{};   ///< Since the caller made progress.
+};
+
 using server_event =
     std::variant<request_received, request_refused, bytes_taken, answer_sent,
-                 caller_left, connection_accepted, connection_refused>;
+                 caller_left, connection_accepted, connection_refused,
+                 relief_taken>;
 
 struct server;
 
@@ -90,6 +127,12 @@
     duration write_limit = std::chrono::seconds{60};
     /// For the next request of a kept connection to begin.
     duration idle_limit = std::chrono::seconds{60};
+    decisions::memory_budget memory; ///< Default: unbounded.
+    /// Time without progress after which a connection may be closed, and only
+    /// while memory or descriptors are short.
+    duration stalled_after = std::chrono::seconds{2};
+    /// Bytes sent or read that count as progress within `stalled_after`.
+    std::size_t min_progress_bytes = 1024;
 };
 
 struct server_deleter
@@ -153,6 +196,9 @@
 /// Answer bytes that wait for the exchange's caller.
 std::size_t queued_bytes(server const& s, exchange_id id);
 
+/// Memory that is held for all callers, in bytes.
+std::size_t held_bytes(server const& s);
+
 /// Exchanges whose answer is not sent yet.
 std::size_t open_exchanges(server const& s);
 
--- a/source/http/server_io.cpp
+++ b/source/http/server_io.cpp
@@ -1,6 +1,7 @@
 #include "http/server_io.hpp"
 
 #include "http/headers.hpp"
+#include "http/server_memory.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -59,6 +60,12 @@
         refuse_request(s, c, checked.error());
         return;
     }
+    count_head(c, head);
+    if (is_exhausted(s, c))
+    {
+        refuse_for_memory(s, c);
+        return;
+    }
     restart_timer(s, c);
     if (to_lower(find_header(head.headers, "expect")) == "100-continue")
         net::write(*c.socket, "HTTP/1.1 100 Continue\r\n\r\n");
@@ -71,7 +78,7 @@
     if (c.body.size() + bytes.size() > s.options.max_body_bytes)
         refuse_request(s, c, {error_kind::body_too_large, "body in chunks"});
     else
-        c.body.append(bytes);
+        append_body(s, c, bytes);
 }
 
 void hand_out(server& s, caller_connection& c)
@@ -81,6 +88,8 @@
     c.close_after = c.close_after || !c.parser.keep_alive;
     keep_end_to_end(head.headers);
     auto const id = open_exchange(s, c);
+    c.memory.request = c.body.capacity();
+    c.memory.preferred = false;
     report(s, request_received{.id = id,
                                .method = std::move(head.method),
                                .target = std::move(head.target),
@@ -118,13 +127,17 @@
 {
     if (c.refused)
         return;
+    note_progress(s, c, bytes.size());
     if (c.exchange == 0)
     {
         read_message(s, c, bytes);
+        update_account(s, c);
+        pause_if_short(s, c);
         return;
     }
     c.pending.append(bytes);
-    if (c.pending.size() > max_pending_bytes)
+    update_account(s, c);
+    if (c.pending.size() > max_pending_bytes || is_short(s, c))
     {
         c.reading_off = true;
         net::read(*c.socket, false);
@@ -140,6 +153,8 @@
         left == 0 ? c.body_queued : std::min(bytes, c.body_queued);
     c.body_queued -= taken;
     restart_timer(s, c);
+    note_progress(s, c, bytes);
+    update_account(s, c);
     if (taken > 0)
         report(s, bytes_taken{.id = c.exchange, .bytes = taken});
     if (left > 0)
@@ -164,6 +179,7 @@
 void forget(server& s, caller_connection& c)
 {
     net::cancel(*s.loop, c.timer);
+    release_account(s, c);
     s.connections.erase(c.serial);
 }
 
@@ -173,15 +189,18 @@
     bool const unsent = net::queued(*c.socket) > 0;
     if (c.exchange != 0 && !unsent)
         return; // The answer is awaited; that is not the caller's delay.
+    if (c.exchange == 0 && c.memory.paused)
+    {
+        refuse_for_memory(s, c);
+        return;
+    }
     if (c.exchange == 0 && c.parser.state == parse_state::body)
     {
         refuse_request(s, c,
                        {error_kind::request_timeout, "body not whole in time"});
         return;
     }
-    forget_exchange(s, c);
-    net::close(*c.socket);
-    forget(s, c);
+    abandon(s, c);
 }
 
 duration limit_of(server const& s, caller_connection const& c)
@@ -216,9 +235,20 @@
     return c.pending.find_first_not_of("\r\n") != std::string::npos;
 }
 
+bool is_unfinished(caller_connection const& c)
+{
+    return c.exchange == 0 && !c.refused &&
+           (c.parser.state == parse_state::body || c.parser.head_bytes > 0);
+}
+
 void refuse_request(server& s, caller_connection& c, error cause)
 {
     c.refused = true;
+    std::string{}.swap(c.body);
+    c.memory.preferred = false;
+    if (std::exchange(c.memory.paused, false))
+        net::read(*c.socket, true);
+    update_account(s, c);
     report(s, request_refused{.id = open_exchange(s, c),
                               .cause = std::move(cause)});
 }
@@ -245,7 +275,7 @@
 
 net::connection_events accept_caller(server& s, net::connection& socket)
 {
-    if (s.connections.size() >= s.options.max_connections)
+    if (s.connections.size() >= s.options.max_connections && !close_idlest(s))
     {
         report(s, connection_refused{});
         net::close(socket);
@@ -257,6 +287,8 @@
     c->owner = &s;
     c->serial = ++s.last_serial;
     c->socket = &socket;
+    c->memory.address = net::peer_address(socket);
+    note_wait(*c);
     start(c->parser, message_kind::request, s.options.max_head_bytes);
     c->parser.on_head = [&s, c](message_head const& head)
     {
@@ -266,6 +298,7 @@
     c->parser.on_body = [&s, c](std::string_view bytes)
     { on_body(s, *c, bytes); };
     s.connections[c->serial] = std::move(owned);
+    update_account(s, *c);
     restart_timer(s, *c);
     return {.received = [&s, c](std::string_view bytes)
             { on_received(s, *c, bytes); },
@@ -278,6 +311,13 @@
             }};
 }
 
+void abandon(server& s, caller_connection& c)
+{
+    forget_exchange(s, c);
+    net::close(*c.socket);
+    forget(s, c);
+}
+
 void drop(server& s, caller_connection& c)
 {
     s.exchanges.erase(c.exchange);
@@ -305,14 +345,18 @@
     c.chunked = c.bodyless = c.ended = false;
     c.body_total = 0;
     c.body_queued = 0;
+    c.memory.head = 0;
+    c.memory.request = 0;
     c.answered = true;
     next_message(c.parser);
     if (std::exchange(c.reading_off, false))
         net::read(*c.socket, true);
     restart_timer(s, c);
     auto const pending = std::exchange(c.pending, {});
+    note_wait(c);
     if (!pending.empty())
         read_message(s, c, pending);
+    update_account(s, c);
 }
 
 void restart_timer(server& s, caller_connection& c)
--- a/source/http/server_io.hpp
+++ b/source/http/server_io.hpp
@@ -12,6 +12,28 @@
 namespace bramleyarch::http
 {
 
+/// What the account of memory knows of a connection.
+struct caller_memory
+{
+    std::uint32_t address = 0;
+    std::size_t held = 0;     ///< Bytes.
+    time_point moved{};       ///< The caller made progress last.
+    std::size_t moved_by = 0; ///< Bytes that do not count as progress yet.
+    std::size_t head = 0;     ///< Whole head of the request.
+    std::size_t request = 0;  ///< Body of the request that is being answered.
+    bool paused = false;      ///< Not read for want of memory.
+    bool preferred = false;   ///< Read to the end of its request.
+};
+
+/// Account of the memory that is held for callers.
+struct server_memory
+{
+    std::size_t held = 0;
+    std::unordered_map<std::uint32_t, std::size_t> by_address;
+    std::deque<std::uint64_t> paused; ///< Serials, in order.
+    kernel::timer_id timer = 0;       ///< Set while memory is short.
+};
+
 /// One caller's connection. At most one exchange is open at a time.
 struct caller_connection
 {
@@ -21,8 +43,9 @@
     message_parser parser;
     std::string body;    ///< Of the request that is being read.
     std::string pending; ///< Received while an exchange was open.
-    time_point since{};  ///< Last progress of what the connection waits for.
-    time_point armed{};  ///< When the timer is due.
+    caller_memory memory;
+    time_point since{}; ///< Last progress of what the connection waits for.
+    time_point armed{}; ///< When the timer is due.
     kernel::timer_id timer = 0;
     bool reading_off = false;
     bool answered = false; ///< An earlier request of this connection.
@@ -50,6 +73,7 @@
         connections;                                          ///< By serial.
     std::unordered_map<exchange_id, std::uint64_t> exchanges; ///< To serial.
     std::deque<server_event> events;
+    server_memory memory;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     bool delivery_due = false;
     bool reuse_ended = false;
@@ -70,10 +94,16 @@
 /// being answered. Empty lines before a request are no part of it.
 bool has_next_request(caller_connection const& c);
 
+/// Returns whether only a part of a request has arrived.
+bool is_unfinished(caller_connection const& c);
+
 /// Reports a request that is not acceptable. Its connection is not read any
 /// more, and closes after the answer.
 void refuse_request(server& s, caller_connection& c, error cause);
 
+/// Ends a connection whose caller has stalled, telling the exchange's user.
+void abandon(server& s, caller_connection& c);
+
 /// Closes the connection and forgets it with its exchange.
 void drop(server& s, caller_connection& c);
 
--- a/source/net/tcp.cpp
+++ b/source/net/tcp.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
@@ -22,6 +23,7 @@
     std::string queue; ///< Bytes before `queue_at` are already sent.
     std::size_t queue_at = 0;
     bool connecting = false;
+    bool reading = true;
     bool flush_pending = false;
     bool blocked = false; ///< The send buffer of the socket is full.
     bool finishing = false;
@@ -108,6 +110,9 @@
     }
     if (conn.queue_at == conn.queue.size())
     {
+        // A kept connection would hold the memory of its largest message.
+        if (conn.queue.capacity() > compaction_threshold_bytes)
+            std::string{}.swap(conn.queue);
         conn.queue.clear();
         conn.queue_at = 0;
     }
@@ -160,6 +165,9 @@
         on_connected(conn);
         return;
     }
+    // Reported in the same turn of the loop before reading was paused.
+    if (!conn.reading)
+        return;
     std::array<char, read_bytes> bytes;
     auto const received =
         ::recv(descriptor_of(*conn.socket), bytes.data(), bytes.size(), 0);
@@ -297,10 +305,29 @@
     return conn.queue.size() - conn.queue_at;
 }
 
+std::size_t queue_capacity(connection const& conn)
+{
+    return conn.queue.capacity();
+}
+
+std::uint32_t peer_address(connection const& conn)
+{
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    if (conn.closed ||
+        ::getpeername(descriptor_of(*conn.socket),
+                      reinterpret_cast<sockaddr*>(&peer), &size) != 0 ||
+        peer.sin_family != AF_INET)
+        return 0;
+    return ntohl(peer.sin_addr.s_addr);
+}
+
 void read(connection& conn, bool on)
 {
-    if (!conn.closed && !conn.connecting)
-        poll_input(*conn.socket, on);
+    if (conn.closed || conn.connecting)
+        return;
+    conn.reading = on;
+    poll_input(*conn.socket, on);
 }
 
 void close(connection& conn)
@@ -328,6 +355,7 @@
     conn.finishing = true;
     conn.linger_timer =
         call_after(*conn.event_loop, linger_timeout, [&conn] { close(conn); });
+    conn.reading = true;
     poll_input(*conn.socket, true);
     flush_soon(conn);
 }
--- a/source/net/tcp.hpp
+++ b/source/net/tcp.hpp
@@ -46,6 +46,12 @@
 /// Returns the number of bytes that are not written to the socket yet.
 std::size_t queued(connection const& conn);
 
+/// Returns the memory of the queue in bytes, which may exceed what is queued.
+std::size_t queue_capacity(connection const& conn);
+
+/// Returns the peer's IPv4 address as a number; 0: unknown.
+std::uint32_t peer_address(connection const& conn);
+
 /// Pauses or resumes reading. A reset is detected even while reading is paused.
 void read(connection& conn, bool on);
 
--- a/source/router/store_assembly.cpp
+++ b/source/router/store_assembly.cpp
@@ -1,6 +1,7 @@
 #include "router/store_assembly.hpp"
 
 #include "common/digest.hpp"
+#include "decisions/memory_budget.hpp"
 #include "services/admin/admin_service.hpp"
 #include "services/backend/backend_service.hpp"
 #include "services/entry/entry_service.hpp"
@@ -14,7 +15,9 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
+#include <sys/sysinfo.h>
 
 namespace bramleyarch::router
 {
@@ -43,13 +46,31 @@
                        info.st_size, info.st_ino);
 }
 
+/// Memory that the process may hold for its callers.
+decisions::memory_budget memory_of(config::limit_settings const& limits)
+{
+    decisions::memory_sources sources{
+        .setting = static_cast<std::size_t>(limits.memory_mb) << 20U};
+    struct sysinfo machine
+    {
+    };
+    if (::sysinfo(&machine) == 0)
+        sources.machine = machine.totalram * machine.mem_unit;
+    rlimit space{};
+    if (::getrlimit(RLIMIT_AS, &space) == 0 && space.rlim_cur != RLIM_INFINITY)
+        sources.address_space = space.rlim_cur;
+    return decisions::derive_memory_budget(sources, limits.max_connections);
+}
+
 entry_options entry_of(store_assembly_options const& options)
 {
     auto const& settings = options.settings;
     entry_options entry{.self = settings.router.id,
                         .domain = settings.router.domain,
                         .seed = options.started,
-                        .dialect = options.adapter.backend};
+                        .dialect = options.adapter.backend,
+                        .answer_credit =
+                            memory_of(settings.limits).answer_credit};
     apply_shared_limits(entry, settings.shared);
     return entry;
 }
@@ -100,16 +121,19 @@
                               .started = options.started,
                               .listen = settings.listen.heartbeat,
                               .seed = options.started}));
-    k.add(
-        make_front_service({.loop = options.loop,
-                            .dialect = options.adapter.front,
-                            .listen = settings.listen.callers,
-                            .started = options.started,
-                            .max_connections = settings.limits.max_connections,
-                            .max_head_bytes = settings.limits.max_header_bytes,
-                            .head_limit = settings.limits.header_timeout,
-                            .body_limit = settings.limits.body_timeout,
-                            .bound_port = options.callers_port}));
+    k.add(make_front_service(
+        {.loop = options.loop,
+         .dialect = options.adapter.front,
+         .listen = settings.listen.callers,
+         .started = options.started,
+         .max_connections = settings.limits.max_connections,
+         .max_head_bytes = settings.limits.max_header_bytes,
+         .head_limit = settings.limits.header_timeout,
+         .body_limit = settings.limits.body_timeout,
+         .memory = memory_of(settings.limits),
+         .stalled_after = settings.limits.stalled_after,
+         .min_progress_bytes = settings.limits.min_progress_bytes,
+         .bound_port = options.callers_port}));
     k.add(make_admin_service({.loop = options.loop,
                               .listen = settings.listen.admin,
                               .router = settings.router.id,
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -21,6 +21,7 @@
 #include "services/entry/rollout_parts.hpp"
 #include "services/entry/waiting.hpp"
 #include "services/messages/backend.hpp"
+#include "services/messages/owner.hpp"
 #include "services/messages/peers.hpp"
 #include "services/messages/routing.hpp"
 #include "services/messages/store.hpp"
@@ -56,6 +57,8 @@
     /// this size, so that another server can still answer if one is cut off.
     /// Also the longest event of a stream.
     std::size_t max_buffered_answer_bytes = 256U << 10;
+    /// Bytes of an answer that may be in flight to its caller.
+    std::uint32_t answer_credit = initial_credit_bytes;
     /// Bytes of all answers that are kept back at the same time. An answer
     /// beyond this ends as an error.
     std::size_t max_held_bytes = 16U << 20;
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -308,7 +308,7 @@
                   .headers = state.options.dialect.make_attempt_headers(
                       request.routed, server.listed, parameters),
                   .body = request.routed.body,
-                  .credit = initial_credit_bytes,
+                  .credit = state.options.answer_credit,
                   .silence_limit = time_left + backend_timeout_margin,
                   .deadline = at + time_left + backend_timeout_margin,
                   // The failure of the first attempt may have closed the
--- a/source/services/front/answers.cpp
+++ b/source/services/front/answers.cpp
@@ -14,8 +14,8 @@
 {
 
 /// Consumed bytes are reported to the routing service in steps of at least
-/// this size, which is well below the number of bytes that may be in flight.
-constexpr std::uint32_t consumed_report_bytes = initial_credit_bytes / 8;
+/// this part of the bytes that may be in flight.
+constexpr std::uint32_t consumed_report_part = 8;
 
 /// Returns std::nullopt if the content length is missing or malformed.
 std::optional<std::uint64_t>
@@ -213,7 +213,8 @@
         return;
     auto& open = state.requests.at(found->second);
     open.unreported_bytes += static_cast<std::uint32_t>(consumed.bytes);
-    if (open.unreported_bytes < consumed_report_bytes)
+    if (open.unreported_bytes <
+        state.options.memory.answer_credit / consumed_report_part)
         return;
     send(state.routing, answer_bytes_consumed{
                             .request = open.id,
--- a/source/services/front/front_service.cpp
+++ b/source/services/front/front_service.cpp
@@ -6,6 +6,7 @@
 #include "services/messages/names.hpp"
 
 #include <algorithm>
+#include <boost/asio/ip/address_v4.hpp>
 #include <fmt/format.h>
 #include <iterator>
 #include <utility>
@@ -28,6 +29,10 @@
 void reject(front_state& state, http::exchange_id exchange, request_id id,
             error cause)
 {
+    // Callers that stall are closed within this time.
+    auto const retry_after = cause.kind == error_kind::queue_full
+                                 ? state.options.stalled_after
+                                 : duration::zero();
     count(state.telemetry_sink, counter::http_rejected);
     log(state.telemetry_sink, log_severity::info, "request_rejected",
         fmt::format("request={} reason={} detail=\"{}\" outcome=not_run",
@@ -35,6 +40,7 @@
     refuse(state, exchange,
            {.cause = std::move(cause),
             .known_outcome = outcome::not_run,
+            .retry_after = retry_after,
             .request = id});
 }
 
@@ -179,6 +185,52 @@
     count(state.telemetry_sink, counter::connections_rejected);
 }
 
+counter counter_of(http::relief what)
+{
+    switch (what)
+    {
+    case http::relief::reading_paused:
+        return counter::callers_paused;
+    case http::relief::request_refused:
+        return counter::rejected_for_memory;
+    case http::relief::body_stalled:
+        return counter::stalled_bodies_refused;
+    case http::relief::answer_stalled:
+        return counter::stalled_answers_closed;
+    case http::relief::idle_closed:
+        break;
+    }
+    return counter::idle_callers_closed;
+}
+
+void handle_event(front_state& state, http::relief_taken const& taken)
+{
+    count(state.telemetry_sink, counter_of(taken.what));
+    auto const kind = static_cast<std::size_t>(taken.what);
+    if (state.reliefs.at(kind)++ == 0)
+        state.first_reliefs.at(kind) = taken;
+}
+
+/// Writes at most one line for each kind and tick.
+void log_reliefs(front_state& state)
+{
+    for (std::size_t kind = 0; kind < state.reliefs.size(); ++kind)
+    {
+        auto const times = std::exchange(state.reliefs.at(kind), 0);
+        if (times == 0)
+            continue;
+        auto const& first = state.first_reliefs.at(kind);
+        log(state.telemetry_sink, log_severity::warning, "callers_limited",
+            fmt::format("action={} times={} first_address={} "
+                        "first_held_bytes={} first_stalled_ms={} "
+                        "address_held_bytes={} held_bytes={} budget_bytes={}",
+                        to_name(first.what), times,
+                        boost::asio::ip::address_v4{first.address}.to_string(),
+                        first.by_caller, to_ms(first.stalled), first.by_address,
+                        first.held, state.options.memory.total));
+    }
+}
+
 void handle(front_state& state, context&, answer_message message)
 {
     forward_answer(state, std::move(message));
@@ -233,10 +285,11 @@
 
 void handle(front_state& state, context&, status_query const& message)
 {
-    message.reply(fmt::format(
-        R"({{"open_requests":{},"open_exchanges":{},"draining":{}}})",
-        state.requests.size(), http::open_exchanges(*state.server),
-        state.draining));
+    message.reply(
+        fmt::format(R"({{"open_requests":{},"open_exchanges":{},"draining":{},)"
+                    R"("held_bytes":{}}})",
+                    state.requests.size(), http::open_exchanges(*state.server),
+                    state.draining, http::held_bytes(*state.server)));
 }
 
 void handle(front_state& state, context&, leaving_started)
@@ -253,6 +306,7 @@
 void handle(front_state& state, context& ctx, front_tick)
 {
     schedule(ctx, tick_interval, front_tick{});
+    log_reliefs(state);
     flush(state.telemetry_sink);
 }
 
@@ -271,7 +325,10 @@
          .max_head_bytes = state.options.max_head_bytes,
          .head_limit = state.options.head_limit,
          .body_limit = state.options.body_limit,
-         .write_limit = state.options.write_limit},
+         .write_limit = state.options.write_limit,
+         .memory = state.options.memory,
+         .stalled_after = state.options.stalled_after,
+         .min_progress_bytes = state.options.min_progress_bytes},
         [](front_state& front, auto&& event)
         { handle_event(front, std::forward<decltype(event)>(event)); });
     if (!is_listening)
--- a/source/services/front/front_service.hpp
+++ b/source/services/front/front_service.hpp
@@ -12,6 +12,7 @@
 #include "services/messages/routing.hpp"
 #include "services/telemetry/telemetry.hpp"
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <memory>
@@ -66,6 +67,9 @@
     duration max_startup_time = std::chrono::seconds{3};
     /// Requests that are held at the same time; the others are refused.
     std::size_t max_startup_requests = 256;
+    decisions::memory_budget memory; ///< Default: unbounded.
+    duration stalled_after = std::chrono::seconds{2};
+    std::size_t min_progress_bytes = 1024;
     /// Receives the bound port. May be null.
     std::shared_ptr<std::atomic<std::uint16_t>> bound_port;
 };
@@ -114,6 +118,10 @@
     std::unordered_map<http::exchange_id, request_id> request_ids;
     std::uint64_t last_sequence = 0;
     bool draining = false;
+    /// What the server did for want of memory or connections since the last
+    /// tick: for each kind how often, and the first one.
+    std::array<std::size_t, enum_size<http::relief>()> reliefs{};
+    std::array<http::relief_taken, enum_size<http::relief>()> first_reliefs{};
     telemetry telemetry_sink;
     int ticks = 0;
 };
--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -78,6 +78,10 @@
     BOOST_TEST_REQUIRE(describe(parsed.faults) == "");
     BOOST_TEST(parsed.value.shared.load_factor == 2);
     BOOST_TEST(parsed.value.shared.retry_slack == 0U);
+    auto const limited =
+        parse_settings(valid + "[limits]\nmemory_mb =\n", "r1.ini");
+    BOOST_TEST_REQUIRE(describe(limited.faults) == "");
+    BOOST_TEST(limited.value.limits.memory_mb == 0U);
     // Elsewhere an empty number is a fault.
     BOOST_TEST(!faults_of(valid + "[limits]\nmax_connections =\n").empty());
 }
