Log and count the limits that servers state on their requests

Change: the platform's header is decoded; decisions/request_limits keeps the latest statement of each run of a server; server_limit lines, a field of attempt lines, two counters and limited_servers on the status page show it. Nothing is decided by it yet. Result: unit_platform passes with answers_state_limits.

--- a/source/common/counters.hpp
+++ b/source/common/counters.hpp
@@ -50,6 +50,8 @@
     claims_released,
     claim_transactions,
     claims_read_back,
+    server_limits_stated,    ///< Set, changed or ended.
+    server_limits_malformed, ///< Answers.
     servers_cold,
     slow_start_limited,
     breaker_opened,
@@ -154,6 +156,8 @@
         row{c::claims_released, "claims_released"},
         row{c::claim_transactions, "claim_transactions"},
         row{c::claims_read_back, "claims_read_back"},
+        row{c::server_limits_stated, "server_limits_stated"},
+        row{c::server_limits_malformed, "server_limits_malformed"},
         row{c::servers_cold, "servers_cold"},
         row{c::slow_start_limited, "slow_start_limited"},
         row{c::breaker_opened, "breaker_opened"},
--- a/source/decisions/fleet_share.cpp
+++ b/source/decisions/fleet_share.cpp
@@ -64,18 +64,23 @@
     return true;
 }
 
-bool may_send_to_cold_server(server_id const& server, router_id const& self,
-                             std::vector<router_id> const& others,
-                             cold_share_options const& options)
+std::size_t routers_ahead(std::uint64_t key, router_id const& self,
+                          std::vector<router_id> const& others)
 {
-    auto const key = name_hash(server.value);
     auto const weight = [key](router_id const& id)
     { return mix(key, name_hash(id.value)); };
     auto const own_weight = weight(self);
-    auto const ahead = std::count_if(others.begin(), others.end(),
-                                     [&](router_id const& id)
-                                     { return weight(id) > own_weight; });
-    return ahead < static_cast<std::ptrdiff_t>(options.senders);
+    return static_cast<std::size_t>(std::count_if(
+        others.begin(), others.end(),
+        [&](router_id const& id) { return weight(id) > own_weight; }));
+}
+
+bool may_send_to_cold_server(server_id const& server, router_id const& self,
+                             std::vector<router_id> const& others,
+                             cold_share_options const& options)
+{
+    return routers_ahead(name_hash(server.value), self, others) <
+           options.senders;
 }
 
 duration cold_send_interval(double cold_rate, cold_share_options const& options)
--- a/source/decisions/fleet_share.hpp
+++ b/source/decisions/fleet_share.hpp
@@ -8,6 +8,7 @@
 #include "common/time.hpp"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -59,6 +60,11 @@
     std::uint32_t senders = 3;
 };
 
+/// Returns how many of `others` come before `self` in the order of the key, by
+/// rendezvous hashing.
+std::size_t routers_ahead(std::uint64_t key, router_id const& self,
+                          std::vector<router_id> const& others);
+
 /// Returns whether `self` is one of the routers that may send to the cold
 /// server. Rendezvous hashing selects them from `self` and `others`.
 bool may_send_to_cold_server(server_id const& server, router_id const& self,
--- a/source/decisions/peer_heartbeat.hpp
+++ b/source/decisions/peer_heartbeat.hpp
@@ -117,6 +117,20 @@
     std::uint32_t arrivals_per_10_s = 0;
 };
 
+/// Limit that one run of a server states on the requests of all routers, or its
+/// end, with the age of the statement.
+struct aged_server_limit
+{
+    std::uint64_t run = 0;    ///< Hash of the server's run.
+    bool is_limited = false;  ///< False: the server states no limit any more.
+    double rate = 0;          ///< Requests per second.
+    std::uint32_t age_ms = 0; ///< When the heartbeat was sent.
+};
+
+/// Limits in one heartbeat, 170 bytes. A router of a fleet of 300 receives 16
+/// heartbeats in each round and knows some hundred limits within three rounds.
+inline constexpr std::size_t max_limits_per_heartbeat = 8;
+
 struct peer_heartbeat
 {
     router_id from;
@@ -137,6 +151,7 @@
     std::vector<aged_server_pace> server_paces;
     std::vector<rollout_evidence> rollouts;
     std::vector<service_demand> service_demands;
+    std::vector<aged_server_limit> server_limits;
 };
 
 } // namespace bramleyarch::decisions
--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -119,6 +119,7 @@
         record_load_report(state, *server, parsed, now(ctx));
     if (parsed.kind != answer_kind::foreign)
         record_announcements(state, request, parsed, now(ctx));
+    record_stated_limit(state, request, parsed, now(ctx));
     if (parsed.kind != answer_kind::genuine)
     {
         reject_answer(state, ctx, request, parsed.kind, head.status);
--- a/source/services/entry/backend_dialect.hpp
+++ b/source/services/entry/backend_dialect.hpp
@@ -70,6 +70,10 @@
     bool leaving = false; ///< The server announces that it is leaving.
     /// Time for which the server wants no further request from this router.
     duration wanted_pause{};
+    /// Requests per second that the server takes from all routers together.
+    std::optional<double> request_limit;
+    /// The server states a limit that is not a number.
+    bool has_malformed_limit = false;
 };
 
 /// Parameters of a single attempt, sent along with the request.
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -40,6 +40,14 @@
 void record_load_report(entry_state& state, backend_server& server,
                         parsed_head const& head, time_point at);
 
+/// Records the limit on requests that the head of an answer states, or its end.
+void record_stated_limit(entry_state& state, entry_request const& request,
+                         parsed_head const& head, time_point at);
+
+/// Returns the limit of the server as a field of a log line, or an empty text
+/// if it states none.
+std::string limit_text(entry_state const& state, backend_server const& server);
+
 /// Records the paces of servers that a heartbeat carries.
 void record_peer_paces(entry_state& state,
                        decisions::peer_heartbeat const& heartbeat,
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -213,8 +213,10 @@
 void handle(entry_state& state, entry_context&, status_query const& query)
 {
     query.reply(fmt::format(
-        R"({{"requests":{},"servers":{},"routers":{},"draining":{}}})",
-        state.requests.size(), state.servers.size(), router_count(state),
+        R"({{"requests":{},"servers":{},"limited_servers":{},"routers":{},)"
+        R"("draining":{}}})",
+        state.requests.size(), state.servers.size(),
+        decisions::count_limited(state.request_limits), router_count(state),
         state.draining));
 }
 
@@ -250,6 +252,7 @@
     decisions::remove_expired_crashes(state.crashes, now(ctx));
     decisions::remove_expired(state.crashing_parts, now(ctx));
     decisions::remove_expired(state.announcements, now(ctx));
+    decisions::remove_expired(state.request_limits, now(ctx));
     decisions::remove_expired(state.server_model, now(ctx));
     for (auto const& crash :
          decisions::crashes_to_repeat(state.crashes, now(ctx)))
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -12,6 +12,7 @@
 #include "decisions/hot_prompt.hpp"
 #include "decisions/prompt_copy.hpp"
 #include "decisions/remote_loads.hpp"
+#include "decisions/request_limits.hpp"
 #include "decisions/server_announcements.hpp"
 #include "decisions/server_choice.hpp"
 #include "decisions/server_model.hpp"
@@ -112,6 +113,8 @@
     std::uint32_t local_in_flight = 0;
     /// A malformed report of its load has been logged.
     bool bad_report_logged = false;
+    /// A malformed limit on its requests has been logged.
+    bool bad_limit_logged = false;
     time_point cold_until{};
     /// Earliest time of the next request while the server is cold.
     time_point next_cold_send_at{};
@@ -215,6 +218,7 @@
     decisions::crashing_parts crashing_parts;
     std::vector<possible_crash> possible_crashes; ///< Oldest first.
     decisions::server_announcements announcements;
+    decisions::request_limits request_limits;
     service_rollouts rollouts;
     bool knows_versions = false; ///< Servers have been listed.
     std::vector<router_id> other_routers;
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -289,7 +289,7 @@
     log(state.telemetry_sink, log_severity::info, "attempt",
         fmt::format(
             "request={} caller_id={} route={} attempt={} server={} "
-            "choice={} own={} peers={} left_ms={} rules={}{}{}{}",
+            "choice={} own={} peers={} left_ms={} rules={}{}{}{}{}",
             to_text(request.routed.id),
             field_text(request.routed.terms.caller_id),
             request.routed.terms.route, request.attempt_number,
@@ -298,7 +298,7 @@
             to_ms(time_left), state.deployment->rules->version,
             resume_after ? fmt::format(" resume_after={}", *resume_after) : "",
             copy_source ? " copy_from=" + copy_source->listed.id.value : "",
-            pace_text(state, request, server, at)));
+            pace_text(state, request, server, at), limit_text(state, server)));
     send(state.backend,
          dispatch{.attempt = {request.routed.id, request.attempt_number},
                   .server = request.current_server,
--- a/source/services/entry/servers.cpp
+++ b/source/services/entry/servers.cpp
@@ -15,6 +15,7 @@
 void reset_history(backend_server& server)
 {
     server.bad_report_logged = false;
+    server.bad_limit_logged = false;
     server.ejected = false;
     server.consecutive_failures = 0;
     server.next_cold_send_at = {};
--- a/source/services/messages/peers.hpp
+++ b/source/services/messages/peers.hpp
@@ -32,6 +32,8 @@
     /// Demand at this router, and at all routers of the domain.
     std::vector<decisions::service_demand> local_demands;
     std::vector<decisions::service_demand> domain_demands;
+    /// Limits that servers state, sent to all peers.
+    std::vector<decisions::aged_server_limit> limits;
 };
 
 /// Gossips that a server crashed with a request in flight.
--- a/source/services/peers/peers_service.cpp
+++ b/source/services/peers/peers_service.cpp
@@ -251,6 +251,7 @@
     auto const round =
         next_heartbeat_targets(state.rotation, state.options.rotation);
     heartbeat.server_paces = std::move(report.paces);
+    heartbeat.server_limits = std::move(report.limits);
     heartbeat.loads = std::move(report.local);
     heartbeat.rollouts = std::move(report.local_rollouts);
     heartbeat.service_demands = std::move(report.local_demands);
--- a/source/wire/peer_heartbeats.cpp
+++ b/source/wire/peer_heartbeats.cpp
@@ -62,15 +62,22 @@
             demand.arrivals_per_10_s);
 }
 
+template <class Archive>
+void serialize(Archive& archive, aged_server_limit& limit)
+{
+    archive(limit.run, limit.is_limited, limit.rate, limit.age_ms);
+}
+
 template <class Archive>
 void serialize(Archive& archive, peer_heartbeat& heartbeat)
 {
-    archive(
-        heartbeat.from, heartbeat.domain, heartbeat.started, heartbeat.sequence,
-        heartbeat.rules_revision, heartbeat.servers_revision, heartbeat.loads,
-        heartbeat.request_crashes, heartbeat.request_answers,
-        heartbeat.prompt_crashes, heartbeat.part_answers,
-        heartbeat.server_paces, heartbeat.rollouts, heartbeat.service_demands);
+    archive(heartbeat.from, heartbeat.domain, heartbeat.started,
+            heartbeat.sequence, heartbeat.rules_revision,
+            heartbeat.servers_revision, heartbeat.loads,
+            heartbeat.request_crashes, heartbeat.request_answers,
+            heartbeat.prompt_crashes, heartbeat.part_answers,
+            heartbeat.server_paces, heartbeat.rollouts,
+            heartbeat.service_demands, heartbeat.server_limits);
 }
 
 } // namespace bramleyarch::decisions
@@ -82,7 +89,7 @@
 {
 
 /// First bytes of a heartbeat; the last one is the version of the encoding.
-constexpr std::string_view peer_heartbeat_magic{"brP\x06"};
+constexpr std::string_view peer_heartbeat_magic{"brP\x07"};
 
 /// No datagram is larger.
 constexpr std::size_t max_peer_heartbeat_bytes = 64U << 10;
--- a/tests/unit/platform/dialects_test.cpp
+++ b/tests/unit/platform/dialects_test.cpp
@@ -256,6 +256,29 @@
                    text);
 }
 
+// A limit that cannot be read must not end the one that holds.
+BOOST_AUTO_TEST_CASE(answers_state_limits)
+{
+    routed_request const request;
+    auto const parse = [&](std::string limit)
+    {
+        return backend_dialect().parse_head(request, 200,
+                                            {{"server-limit", limit}});
+    };
+    BOOST_TEST(parse("2.5").request_limit.value() == 2.5);
+    BOOST_TEST(parse("12").request_limit.value() == 12);
+    BOOST_TEST(parse("0").request_limit.value() == 0);
+    BOOST_TEST(parse("1e300").request_limit.value() == 1e6);
+    BOOST_TEST(!parse("2.5").has_malformed_limit);
+    BOOST_TEST(!parse("").request_limit);
+    BOOST_TEST(!parse("").has_malformed_limit);
+    for (std::string const text : {"-1", "few", "2/s", "nan", " 2"})
+    {
+        BOOST_TEST(!parse(text).request_limit, text);
+        BOOST_TEST(parse(text).has_malformed_limit, text);
+    }
+}
+
 // A report must not be lost because it has the optional fourth figure.
 BOOST_AUTO_TEST_CASE(loads_have_three_figures_or_four)
 {
