Divide the limits that servers state among all routers

Cause: no router read the header, so that a demand on all routers was known to none.

Change: each router keeps a token bucket for its share of each limit, for every attempt. As many routers send to a server as a burst may have requests, so that full buckets do not exceed the limit in a large fleet. Heartbeats carry limits and their ends. What no server accepts is refused at once.

--- a/source/common/counters.hpp
+++ b/source/common/counters.hpp
@@ -52,6 +52,7 @@
     claims_read_back,
     server_limits_stated,    ///< Set, changed or ended.
     server_limits_malformed, ///< Answers.
+    requests_beyond_limits,  ///< Refused, since no server accepted more.
     servers_cold,
     slow_start_limited,
     breaker_opened,
@@ -158,6 +159,7 @@
         row{c::claims_read_back, "claims_read_back"},
         row{c::server_limits_stated, "server_limits_stated"},
         row{c::server_limits_malformed, "server_limits_malformed"},
+        row{c::requests_beyond_limits, "requests_beyond_limits"},
         row{c::servers_cold, "servers_cold"},
         row{c::slow_start_limited, "slow_start_limited"},
         row{c::breaker_opened, "breaker_opened"},
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -30,6 +30,13 @@
 bool is_in_use(entry_state const& state, service_id const& service,
                backend_server const& server);
 
+/// Returns the time until the server accepts a request of this router, as far
+/// as it has asked for a pause or stated a limit; std::nullopt: other routers
+/// use all of its limit.
+std::optional<duration> time_to_accept(entry_state const& state,
+                                       backend_server const& server,
+                                       time_point at);
+
 /// Returns the server of the request's current attempt, or nullptr if the
 /// deployment no longer lists it.
 backend_server* find_current_server(entry_state& state,
--- a/source/services/entry/entry_service.cpp
+++ b/source/services/entry/entry_service.cpp
@@ -131,6 +131,8 @@
                                message.heartbeat, now(ctx));
     apply_rollout_evidence(state, message.heartbeat, now(ctx));
     record_peer_paces(state, message.heartbeat, now(ctx));
+    decisions::record_limits(state.request_limits,
+                             message.heartbeat.server_limits, now(ctx));
     record_demands(state, ctx, message.heartbeat);
 }
 
@@ -183,6 +185,7 @@
 {
     state.other_routers = std::move(message.others);
     update_rollout_routers(state);
+    decisions::set_routers(state.request_limits, state.other_routers);
     record_fleet(state, now(ctx));
 }
 
@@ -245,6 +248,7 @@
     }
     check_rollouts(state, report, now(ctx));
     report.paces = decisions::paces_to_send(state.server_model, now(ctx));
+    report.limits = decisions::limits_to_send(state.request_limits, now(ctx));
     add_demands(state, ctx, report);
     send(state.peers_service, std::move(report));
     if (++state.ticks % ticks_per_flush != 0)
@@ -285,6 +289,7 @@
     state.random.seed(state.options.seed);
     state.remote_loads.options = state.options.remote_loads;
     state.waiting.shares.own_domain = state.options.domain;
+    state.request_limits.self = state.options.self;
     connect(state.telemetry_sink, *ctx.names);
     state.backend =
         ctx.names->find<backend_message>(to_name(service_name::backend));
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -123,6 +123,19 @@
            !state.deployment->taken_out.contains(server.listed.domain);
 }
 
+std::optional<duration> time_to_accept(entry_state const& state,
+                                       backend_server const& server,
+                                       time_point at)
+{
+    auto const run = run_of(server);
+    auto const within_limit =
+        decisions::time_to_send(state.request_limits, run, at);
+    if (!within_limit)
+        return std::nullopt;
+    return std::max(*within_limit,
+                    decisions::remaining_pause(state.announcements, run, at));
+}
+
 namespace
 {
 
@@ -132,27 +145,41 @@
     return is_in_use(state, request.routed.service, server) &&
            !was_tried(request, server.listed.id) &&
            may_run_at(state, request, server) &&
-           decisions::remaining_pause(state.announcements, run_of(server),
-                                      at) == duration::zero();
+           time_to_accept(state, server, at) == duration::zero();
 }
 
-/// Returns the time until a server of the service wants requests again if all
-/// of them have asked for a pause, otherwise zero.
-duration shortest_pause(entry_state const& state, service_id const& service,
-                        time_point at)
+/// Returns the shortest time until a server of the service accepts a request of
+/// this router; zero if other routers use all that the servers accept.
+duration shortest_time_to_accept(entry_state const& state,
+                                 service_id const& service, time_point at)
 {
     std::optional<duration> shortest;
     for (auto const& [id, server] : state.servers)
     {
         if (!is_in_use(state, service, server))
             continue;
-        auto const remaining =
-            decisions::remaining_pause(state.announcements, run_of(server), at);
-        shortest = std::min(shortest.value_or(remaining), remaining);
+        if (auto const time = time_to_accept(state, server, at))
+            shortest = std::min(shortest.value_or(*time), *time);
     }
     return shortest.value_or(duration::zero());
 }
 
+/// Returns whether a server of the service would accept a request now if it
+/// stated no limit.
+bool is_beyond_limits(entry_state const& state, service_id const& service,
+                      time_point at)
+{
+    return std::ranges::any_of(
+        state.servers,
+        [&](auto const& entry)
+        {
+            auto const& server = entry.second;
+            return is_in_use(state, service, server) &&
+                   decisions::time_to_send(state.request_limits, run_of(server),
+                                           at) != duration::zero();
+        });
+}
+
 /// Returns whether this router may send one more request to the cold server
 /// now.
 bool may_use_cold_server(entry_state const& state, backend_server const& server,
@@ -277,6 +304,7 @@
     decisions::begin_continuation(request.cursor);
     ++server.local_in_flight;
     schedule_next_cold_send(state, server, at);
+    decisions::record_send(state.request_limits, request.server_run, at);
     record_rollout_send(state, request, server, at);
     auto const resume_after = request.cursor.last_id;
     auto const* const copy_source =
@@ -404,13 +432,15 @@
                       shared_prefix_for(state, request, load, at), at);
     if (!choice)
     {
+        if (is_beyond_limits(state, request.routed.service, at))
+            count(state.telemetry_sink, counter::requests_beyond_limits);
         auto cause = request.last_failure.detail.empty()
                          ? error{error_kind::no_eligible_server,
                                  request.routed.service.value}
                          : request.last_failure;
         fail_request(
             state, ctx, request, std::move(cause),
-            shortest_pause(state, request.routed.service, at) +
+            shortest_time_to_accept(state, request.routed.service, at) +
                 jittered_retry_after(state, state.options.min_retry_after));
         return;
     }
--- a/source/services/entry/waiting.cpp
+++ b/source/services/entry/waiting.cpp
@@ -63,11 +63,9 @@
         if (server.listed.service != service)
             continue;
         room.own += server.local_in_flight;
-        bool const paused =
-            decisions::remaining_pause(state.announcements, run_of(server),
-                                       at) > duration::zero();
         if (!is_in_use(state, service, server) || server.ejected ||
-            server.cold_until > at || paused)
+            server.cold_until > at ||
+            time_to_accept(state, server, at) != duration::zero())
             continue;
         room.load += server.local_in_flight + remote_in_flight(state, server);
         room.slots += std::max(server.listed.slots, 1U);
--- a/tests/unit/services/entry/fixture.hpp
+++ b/tests/unit/services/entry/fixture.hpp
@@ -68,8 +68,9 @@
 
 /// Reads the kind of an answer from its header `answer-kind`. The headers
 /// `leaving` and `pause` announce that the server leaves, or wants a pause of
-/// 2 s. `pace` is the pace in a report of the server's load; the report is
-/// malformed if this is not a number.
+/// 2 s. `limit` is the limit on the requests of all routers; it is malformed if
+/// this is not a number. `pace` is the pace in a report of the server's load;
+/// the report is malformed if this is not a number.
 inline parsed_head parse_test_head(routed_request const&, int,
                                    std::vector<header_field> const& headers)
 {
@@ -78,6 +79,11 @@
     auto const read =
         std::from_chars(pace.data(), pace.data() + pace.size(), percent);
     bool const is_valid = !pace.empty() && read.ec == std::errc{};
+    auto const limit = find_header(headers, "limit");
+    double rate = 0;
+    bool const has_rate =
+        std::from_chars(limit.data(), limit.data() + limit.size(), rate).ec ==
+        std::errc{};
     using load = std::optional<reported_load>;
     using fault = std::optional<load_report_fault>;
     return {.kind = from_name<answer_kind>(find_header(headers, "answer-kind"))
@@ -88,7 +94,9 @@
                               ? std::nullopt
                               : fault{load_report_fault::not_a_number},
             .leaving = !find_header(headers, "leaving").empty(),
-            .wanted_pause = find_header(headers, "pause").empty() ? 0s : 2s};
+            .wanted_pause = find_header(headers, "pause").empty() ? 0s : 2s,
+            .request_limit = has_rate ? std::optional{rate} : std::nullopt,
+            .has_malformed_limit = !limit.empty() && !has_rate};
 }
 
 /// What one caller received.
--- a/tests/unit/wire/peer_heartbeats_test.cpp
+++ b/tests/unit/wire/peer_heartbeats_test.cpp
@@ -29,7 +29,8 @@
                   config::rollout_state::running,
                   70,
                   {{63, true, 64, 65, 66, 67, 68, 69}}}},
-    .service_demands = {{71, 72, 73, 74}}};
+    .service_demands = {{71, 72, 73, 74}},
+    .server_limits = {{81, true, 2.5, 82}, {83, false, 0, 84}}};
 
 } // namespace
 
@@ -87,6 +88,12 @@
     BOOST_TEST(heartbeat.service_demands[0].in_flight == 72U);
     BOOST_TEST(heartbeat.service_demands[0].waiting == 73U);
     BOOST_TEST(heartbeat.service_demands[0].arrivals_per_10_s == 74U);
+    BOOST_REQUIRE(heartbeat.server_limits.size() == 2U);
+    BOOST_TEST(heartbeat.server_limits[0].run == 81U);
+    BOOST_TEST(heartbeat.server_limits[0].is_limited);
+    BOOST_TEST(heartbeat.server_limits[0].rate == 2.5);
+    BOOST_TEST(heartbeat.server_limits[0].age_ms == 82U);
+    BOOST_TEST(!heartbeat.server_limits[1].is_limited);
 }
 
 BOOST_AUTO_TEST_CASE(truncated_and_extended_heartbeats_are_rejected)
