Log the store's era and older changes that are ignored

Change: both are logged; a counter and the status page show the era. Heartbeats have a place for it. Nothing is decided by it yet. Result: unit_service_store, unit_platform and unit_wire pass.

--- a/source/common/counters.hpp
+++ b/source/common/counters.hpp
@@ -50,6 +50,7 @@
     claims_released,
     claim_transactions,
     claims_read_back,
+    store_restores,          ///< The store came back from an older copy.
     server_limits_stated,    ///< Set, changed or ended.
     server_limits_malformed, ///< Answers.
     requests_beyond_limits,  ///< Refused, since no server accepted more.
@@ -157,6 +158,7 @@
         row{c::claims_released, "claims_released"},
         row{c::claim_transactions, "claim_transactions"},
         row{c::claims_read_back, "claims_read_back"},
+        row{c::store_restores, "store_restores"},
         row{c::server_limits_stated, "server_limits_stated"},
         row{c::server_limits_malformed, "server_limits_malformed"},
         row{c::requests_beyond_limits, "requests_beyond_limits"},
--- a/source/decisions/discovery.cpp
+++ b/source/decisions/discovery.cpp
@@ -318,7 +318,11 @@
                               time_point at)
 {
     auto& applied = state.applied_revisions[change.key];
-    if (change.changed != 0 && change.changed <= applied)
+    if (change.changed != 0 && change.changed < applied)
+        return {.log_text = fmt::format("key={} older change ignored: "
+                                        "revision {} is applied",
+                                        change.key, applied)};
+    if (change.changed != 0 && change.changed == applied)
         return {};
     applied = std::max(applied, change.changed);
     return std::visit([&](auto const& content)
--- a/source/decisions/peer_heartbeat.hpp
+++ b/source/decisions/peer_heartbeat.hpp
@@ -137,6 +137,8 @@
     domain_id domain; ///< Failure domain of the sender.
     incarnation started = 0;
     std::uint64_t sequence = 0; ///< Increases within one start of the sender.
+    /// Era of the store in which the sender has read the revisions.
+    std::uint64_t store_era = 0;
     /// Revision of the newest rules that the sender has read from the store.
     revision rules_revision = 0;
     /// Revision of the newest server entry that the sender has read.
--- a/source/services/messages/store.hpp
+++ b/source/services/messages/store.hpp
@@ -20,9 +20,11 @@
 };
 
 /// Revisions of the newest changes to the store's rules and servers that a
-/// router knows; 0 means that it knows no change.
+/// router knows; 0 means that it knows no change. Revisions of different eras
+/// of the store can't be compared.
 struct known_revisions
 {
+    std::uint64_t era = 0; ///< 0: the store has stated none.
     revision rules = 0;
     revision servers = 0;
 
--- a/source/services/store/status_page.cpp
+++ b/source/services/store/status_page.cpp
@@ -63,6 +63,7 @@
     json const status{{"rules", to_json(sync_of(state, record_group::rules))},
                       {"servers", std::move(servers)},
                       {"away", state.discovery.store_unavailable},
+                      {"era", state.era},
                       {"listing", to_name(state.registration)},
                       {"routers", state.discovery.routers.size()},
                       {"rollouts", std::move(rollouts)},
--- a/source/services/store/store_codec.hpp
+++ b/source/services/store/store_codec.hpp
@@ -4,6 +4,7 @@
 
 #include "common/enum_names.hpp"
 #include "common/error.hpp"
+#include "common/request.hpp"
 #include "decisions/discovery.hpp"
 #include "decisions/status_record.hpp"
 
@@ -72,6 +73,11 @@
     store_request (*encode_watch)(record_group group, revision after,
                                   duration wait) = nullptr;
     result<record_batch> (*decode_watch)(std::string_view body) = nullptr;
+    /// Returns the era of the store that the head of a response states, or 0 if
+    /// it states none. The store begins a new era when it comes back from an
+    /// older copy: changes are lost, and revisions are given out again.
+    std::uint64_t (*decode_era)(std::vector<header_field> const& headers) =
+        nullptr;
     store_request (*encode_lease_grant)(duration ttl) = nullptr;
     /// Returns the ID of the granted lease.
     result<std::uint64_t> (*decode_lease_grant)(std::string_view body) =
--- a/source/services/store/store_service.cpp
+++ b/source/services/store/store_service.cpp
@@ -3,6 +3,7 @@
 #include "services/messages/names.hpp"
 #include "services/store/store_parts.hpp"
 
+#include <fmt/format.h>
 #include <thread>
 #include <utility>
 
@@ -40,9 +41,25 @@
 
 void handle_event(store_state&, pending_request&, http::request_sent const&) {}
 
+/// Notes the era that a response states.
+void record_era(store_state& state, http::response_head const& head)
+{
+    auto const era = state.options.codec.decode_era(head.headers);
+    if (era == 0 || era == state.era)
+        return;
+    if (state.era != 0)
+    {
+        count(state.telemetry_sink, counter::store_restores);
+        log(state.telemetry_sink, log_severity::warning, "store_restored",
+            fmt::format("era={} before={}", era, state.era));
+    }
+    state.era = era;
+}
+
 void handle_event(store_state& state, pending_request& request,
                   http::response_head const& head)
 {
+    record_era(state, head);
     request.status = head.status;
     request.head_received_at = current_time(state);
     request.last_byte_at = request.head_received_at;
--- a/source/services/store/store_service.hpp
+++ b/source/services/store/store_service.hpp
@@ -187,6 +187,7 @@
     store_options options;
     http::client_ptr client;
     store_transport transport;
+    std::uint64_t era = 0; ///< Of the store; 0: it has stated none.
     decisions::discovery discovery;
     telemetry telemetry_sink;
     kernel::address<store_message> self;
--- a/source/wire/peer_heartbeats.cpp
+++ b/source/wire/peer_heartbeats.cpp
@@ -72,7 +72,7 @@
 void serialize(Archive& archive, peer_heartbeat& heartbeat)
 {
     archive(heartbeat.from, heartbeat.domain, heartbeat.started,
-            heartbeat.sequence, heartbeat.rules_revision,
+            heartbeat.sequence, heartbeat.store_era, heartbeat.rules_revision,
             heartbeat.servers_revision, heartbeat.loads,
             heartbeat.request_crashes, heartbeat.request_answers,
             heartbeat.prompt_crashes, heartbeat.part_answers,
@@ -89,7 +89,7 @@
 {
 
 /// First bytes of a heartbeat; the last one is the version of the encoding.
-constexpr std::string_view peer_heartbeat_magic{"brP\x07"};
+constexpr std::string_view peer_heartbeat_magic{"brP\x08"};
 
 /// No datagram is larger.
 constexpr std::size_t max_peer_heartbeat_bytes = 64U << 10;
--- a/tests/unit/services/store/store_fixture.hpp
+++ b/tests/unit/services/store/store_fixture.hpp
@@ -104,6 +104,8 @@
                                             after, to_ms(wait)));
         },
         .decode_watch = fake_decode,
+        .decode_era = [](std::vector<header_field> const& headers)
+        { return std::uint64_t{find_header(headers, "era").size()}; },
         .encode_lease_grant = [](duration) { return fake_request("grant"); },
         .decode_lease_grant = [](std::string_view) -> result<std::uint64_t>
         { return 7; },
@@ -144,6 +146,7 @@
     std::shared_ptr<std::vector<routing_message>> routing =
         add_recorder<routing_message>(runtime, service_name::routing);
     kernel::address<store_message> store;
+    std::size_t era = 0; ///< Of the store, in all of its responses.
 
     store_fixture()
     {
@@ -183,6 +186,16 @@
         return *found;
     }
 
+    /// Returns the head of a response, which states the era `era`, if it is not
+    /// 0, by the length of a header.
+    http::response_head head_of(std::uint64_t id, int status) const
+    {
+        http::response_head head{.id = id, .status = status};
+        if (era > 0)
+            head.headers.push_back({"era", std::string(era, 'x')});
+        return head;
+    }
+
     /// Delivers a complete response to the latest request whose target starts
     /// with `prefix`. Its body has at least `size` bytes.
     void respond(std::string_view prefix, record_batch batch, int status = 200,
@@ -190,7 +203,7 @@
     {
         auto const id = last(prefix).id;
         decoded_responses().push_back(std::move(batch));
-        deliver_event(http::response_head{.id = id, .status = status});
+        deliver_event(head_of(id, status));
         auto body = std::to_string(decoded_responses().size() - 1);
         // The decoder stops at the first space.
         body.resize(std::max(size, body.size()), ' ');
@@ -203,7 +216,7 @@
     void respond_text(std::string_view prefix, int status, std::string body)
     {
         auto const id = last(prefix).id;
-        deliver_event(http::response_head{.id = id, .status = status});
+        deliver_event(head_of(id, status));
         deliver_event(http::response_bytes{id, std::move(body)});
         deliver_event(http::response_end{id});
         runtime.run_until_idle();
--- a/tests/unit/wire/peer_heartbeats_test.cpp
+++ b/tests/unit/wire/peer_heartbeats_test.cpp
@@ -16,6 +16,7 @@
     .domain = {"a"},
     .started = 7,
     .sequence = 9,
+    .store_era = 30,
     .rules_revision = 31,
     .servers_revision = 32,
     .loads = {{11, 3}, {12, 4}},
@@ -45,6 +46,7 @@
     BOOST_TEST(heartbeat.domain.value == "a");
     BOOST_TEST(heartbeat.started == 7U);
     BOOST_TEST(heartbeat.sequence == 9U);
+    BOOST_TEST(heartbeat.store_era == 30U);
     BOOST_TEST(heartbeat.rules_revision == 31U);
     BOOST_TEST(heartbeat.servers_revision == 32U);
     BOOST_REQUIRE(heartbeat.loads.size() == 2U);
