Follow the eras of the store

Cause: changes of a key are ordered by revision, and the store gives revisions out again. The same mistake stood in the revisions that peers advertise, in the start of watches and in the router's own records.

Change: the first answer of a new era begins it: revisions are forgotten, records listed, the router registered, statuses written again. What the copy lacks is kept for as long as after an outage; runs of servers that had ended stay ended. Answers and peers' revisions of earlier eras are ignored.

--- a/source/decisions/discovery.cpp
+++ b/source/decisions/discovery.cpp
@@ -15,16 +15,32 @@
 
 using rules_record = std::shared_ptr<config::routing_rules const>;
 
+/// True if the store came back from an older copy so lately that records which
+/// it lacks may yet be written again.
+bool is_recovering(discovery const& state, time_point at)
+{
+    return state.restored_at &&
+           at < *state.restored_at + state.options.recovery_grace;
+}
+
 /// True if an entry removed at `at` may belong to a server that still runs.
 bool should_defer_removal(discovery const& state, time_point at)
 {
-    return state.store_unavailable ||
+    return state.store_unavailable || is_recovering(state, at) ||
            (state.mass_expiry && state.available_since &&
             at < *state.available_since + state.options.recovery_grace);
 }
 
-void erase_server(discovery& state, server_id const& id)
+void erase_server(discovery& state, server_id const& id, time_point at)
 {
+    auto const server = state.deployment.servers.find(id);
+    auto const sequence = state.sequences.find(id);
+    if (server != state.deployment.servers.end() &&
+        sequence != state.sequences.end())
+        state.ended_runs[id] = {.born = server->second.born,
+                                .sequence = sequence->second,
+                                .leaving = server->second.leaving,
+                                .at = at};
     state.deployment.servers.erase(id);
     state.sequences.erase(id);
     state.deferred_removals.erase(id);
@@ -147,16 +163,17 @@
         return {};
     if (should_defer_removal(state, at))
     {
-        auto const from = state.available_since && !state.store_unavailable
-                              ? *state.available_since
-                              : at;
+        auto const returned =
+            std::max(state.available_since.value_or(time_point::min()),
+                     state.restored_at.value_or(time_point::min()));
+        auto const from = state.store_unavailable ? at : returned;
         state.deferred_removals.emplace(id,
                                         from + state.options.recovery_grace);
         return {.log_text = fmt::format("server={} has no valid entry after an "
                                         "outage of the store; removal deferred",
                                         id.value)};
     }
-    erase_server(state, id);
+    erase_server(state, id, at);
     return {.deployment_changed = true,
             .log_text = fmt::format("server={} removed: {}", id.value, reason)};
 }
@@ -174,6 +191,26 @@
            entry.sequence < sequence->second;
 }
 
+/// Returns the run of the entry if that had ended when it was last known.
+ended_run const* find_ended_run(discovery const& state,
+                                server_entry const& entry)
+{
+    auto const found = state.ended_runs.find(entry.server.id);
+    return found != state.ended_runs.end() &&
+                   found->second.born == entry.server.born
+               ? &found->second
+               : nullptr;
+}
+
+/// True if the entry was written before its run ended, and is there again since
+/// the store came back from an older copy.
+bool is_resurrected(discovery const& state, server_entry const& entry)
+{
+    auto const* const ended = find_ended_run(state, entry);
+    return ended && state.restored_at && ended->at <= *state.restored_at &&
+           entry.sequence <= ended->sequence;
+}
+
 discovery_effect apply_content(discovery& state, record_change const& change,
                                server_entry const& entry, time_point at)
 {
@@ -184,6 +221,10 @@
     if (is_outdated(state, entry))
         return {.log_text =
                     fmt::format("server={} outdated entry ignored", id.value)};
+    if (is_resurrected(state, entry))
+        return {.log_text = fmt::format("server={} entry of an ended run "
+                                        "ignored",
+                                        id.value)};
     auto const known = state.deployment.servers.find(id);
     state.held_servers.erase(id);
     if (should_hold(state, entry.server, change.changed))
@@ -203,7 +244,9 @@
     auto next = entry.server;
     next.changed = change.changed;
     // A server that leaves does not return before its next start.
-    next.leaving = next.leaving || (same_start && known->second.leaving);
+    auto const* const ended = find_ended_run(state, entry);
+    next.leaving = next.leaving || (same_start && known->second.leaving) ||
+                   (ended && ended->leaving);
     state.sequences[id] = entry.sequence;
     auto text =
         fmt::format("server={} service={} domain={} address={}:{} "
@@ -222,8 +265,17 @@
 }
 
 discovery_effect apply_content(discovery& state, record_change const& change,
-                               domain_taken_out const& out, time_point)
+                               domain_taken_out const& out, time_point at)
 {
+    if (change.removed && is_recovering(state, at))
+    {
+        state.deferred_returns[out.domain] =
+            *state.restored_at + state.options.recovery_grace;
+        return {.log_text = fmt::format("domain={} has no record after the "
+                                        "store was restored; return deferred",
+                                        out.domain.value)};
+    }
+    state.deferred_returns.erase(out.domain);
     if (change.removed)
         state.deployment.taken_out.erase(out.domain);
     else
@@ -289,6 +341,19 @@
         due = at + state.options.recovery_grace;
 }
 
+void record_store_restored(discovery& state, time_point at)
+{
+    state.restored_at = at;
+    // The keys stay, since those that a list lacks are removed.
+    for (auto& [key, applied] : state.applied_revisions)
+        applied = 0;
+    state.operators_read = 0;
+    state.orders_read.clear();
+    state.held_servers.clear();
+    for (auto& [id, due] : state.deferred_removals)
+        due = at + state.options.recovery_grace;
+}
+
 void detect_mass_expiry(discovery& state,
                         std::vector<record_change> const& changes)
 {
@@ -400,17 +465,32 @@
     return missing;
 }
 
-discovery_effect remove_expired_servers(discovery& state, time_point at)
+discovery_effect apply_due_removals(discovery& state, time_point at)
 {
     discovery_effect effect;
+    std::erase_if(
+        state.ended_runs, [&](auto const& entry)
+        { return at - entry.second.at >= state.options.ended_run_retention; });
     if (state.store_unavailable)
         return effect;
+    auto const returns = state.deferred_returns;
+    for (auto const& [domain, due] : returns)
+    {
+        if (due > at)
+            continue;
+        state.deferred_returns.erase(domain);
+        state.deployment.taken_out.erase(domain);
+        effect.deployment_changed = true;
+        effect.log_text +=
+            fmt::format("{}domain={} returned: not taken out again",
+                        effect.log_text.empty() ? "" : " ", domain.value);
+    }
     auto const deferred = state.deferred_removals;
     for (auto const& [id, due] : deferred)
     {
         if (due > at)
             continue;
-        erase_server(state, id);
+        erase_server(state, id, at);
         effect.deployment_changed = true;
         effect.log_text +=
             fmt::format("{}server={} removed: not registered again",
--- a/source/decisions/discovery.hpp
+++ b/source/decisions/discovery.hpp
@@ -81,6 +81,18 @@
     /// Fewer removals are servers that left while only this router could not
     /// reach the store.
     double mass_expiry_share = 0.5;
+    /// Time for which runs of servers that were removed are remembered; many
+    /// times the age of a copy from which the store may come back.
+    duration ended_run_retention = std::chrono::minutes{2};
+};
+
+/// The last known entry of a run of a server that was removed.
+struct ended_run
+{
+    std::uint64_t born = 0;
+    std::uint64_t sequence = 0;
+    bool leaving = false;
+    time_point at{};
 };
 
 /// A server whose version no server in use has. It gets no requests until it is
@@ -112,9 +124,15 @@
     /// Servers whose entries were removed in connection with an outage of the
     /// store, with the time at which they are removed here.
     std::map<server_id, time_point> deferred_removals;
+    /// Domains whose records are missing in an older copy of the store, with
+    /// the time at which they return here.
+    std::map<domain_id, time_point> deferred_returns;
+    std::map<server_id, ended_run> ended_runs;
     bool store_unavailable = false;
     /// End of the last outage of the store, if there was one.
     std::optional<time_point> available_since;
+    /// When it was noticed that the store came back from an older copy.
+    std::optional<time_point> restored_at;
     /// True if a mass expiry was detected since the end of the last outage.
     bool mass_expiry = false;
 };
@@ -134,6 +152,13 @@
 /// Records that the store answers again, and extends deferred removals.
 void record_store_available(discovery& state, time_point at);
 
+/// Records that the store came back from an older copy: changes are missing
+/// until they are written again, and revisions are given out again. The records
+/// are to be listed next. What the copy lacks is kept for `recovery_grace`;
+/// entries of runs of servers that have ended, and lower versions of the rules,
+/// are ignored.
+void record_store_restored(discovery& state, time_point at);
+
 /// Checks whether the removals among changes that arrived together are a mass
 /// expiry. To be called before these changes are applied.
 void detect_mass_expiry(discovery& state,
@@ -172,8 +197,9 @@
 server_versions(config::deployment const& deployment,
                 service_id const& service);
 
-/// Removes the servers that did not register again in time. Removes none
-/// while the store is unavailable.
-discovery_effect remove_expired_servers(discovery& state, time_point at);
+/// Removes the servers that did not register again in time, and returns the
+/// domains whose records were not written again. Does neither while the store
+/// is unavailable.
+discovery_effect apply_due_removals(discovery& state, time_point at);
 
 } // namespace bramleyarch::decisions
--- a/source/decisions/status_record.cpp
+++ b/source/decisions/status_record.cpp
@@ -71,6 +71,14 @@
         record.writing = *record.wanted;
 }
 
+void record_loss(status_record& record)
+{
+    end_call(record);
+    if (auto const* const own = find_own_status(record))
+        record_decision(record, own->state);
+    record.is_read = false;
+}
+
 void record_stored(status_record& record, stored_status stored)
 {
     end_call(record);
--- a/source/decisions/status_record.hpp
+++ b/source/decisions/status_record.hpp
@@ -104,6 +104,10 @@
 void record_failure(status_record& record, status_failure failure,
                     time_point next_call);
 
+/// Records that the store may have lost the status. It is read again, and
+/// written again if it is missing.
+void record_loss(status_record& record);
+
 /// Returns the stored status of the order. If none is stored, the order is
 /// running, and `changed` is 0.
 config::rollout_status status_of(status_record const& record);
--- a/source/services/peers/peers_service.cpp
+++ b/source/services/peers/peers_service.cpp
@@ -63,15 +63,23 @@
     update_fleet(state);
 }
 
-/// Merges the store revisions of a heartbeat into the newest ones received. If
-/// either rises, reports both to the store service.
+/// Merges the store revisions of a heartbeat into the newest ones received.
+/// Those of a later era of the store replace them. Reports what has changed to
+/// the store service.
 void merge_peer_revisions(peers_state& state,
                           decisions::peer_heartbeat const& heartbeat)
 {
     auto& known = state.peer_revisions;
-    known_revisions const newest{
-        .rules = std::max(known.rules, heartbeat.rules_revision),
-        .servers = std::max(known.servers, heartbeat.servers_revision)};
+    if (heartbeat.store_era < known.era)
+        return;
+    known_revisions newest{.era = heartbeat.store_era,
+                           .rules = heartbeat.rules_revision,
+                           .servers = heartbeat.servers_revision};
+    if (newest.era == known.era)
+    {
+        newest.rules = std::max(newest.rules, known.rules);
+        newest.servers = std::max(newest.servers, known.servers);
+    }
     if (newest == known)
         return;
     known = newest;
@@ -243,6 +251,7 @@
         .domain = state.options.domain,
         .started = state.options.started,
         .sequence = ++state.sequence,
+        .store_era = state.local_revisions.era,
         .rules_revision = state.local_revisions.rules,
         .servers_revision = state.local_revisions.servers};
     add_request_news(state, heartbeat);
--- a/source/services/store/group_sync.cpp
+++ b/source/services/store/group_sync.cpp
@@ -43,6 +43,7 @@
 void advertise_revisions(store_state& state)
 {
     known_revisions const newest{
+        .era = state.era,
         .rules = sync_of(state, record_group::rules).newest_revision,
         .servers = sync_of(state, record_group::servers).newest_revision};
     if (newest == state.advertised_revisions)
@@ -362,6 +363,21 @@
                      current_time(state) + backoff_delay(state, sync.failures));
 }
 
+void restart_syncs(store_state& state)
+{
+    for (auto& sync : state.syncs)
+    {
+        if (sync.request.id != 0)
+            state.transport.close(sync.request.id);
+        sync = {.group = sync.group,
+                .next_request = never,
+                .state_bytes = sync.state_bytes};
+        if (sync.group != record_group::routers)
+            send_sync_request(state, sync);
+    }
+    advertise_revisions(state);
+}
+
 void handle_sync_response(store_state& state, group_sync& sync)
 {
     auto const response = std::exchange(sync.request, {});
@@ -423,14 +439,18 @@
 
 void record_peer_revisions(store_state& state, known_revisions const& newest)
 {
+    if (newest.era > state.era && state.era != 0)
+        restart_watches(state, "peers know that the store was restored");
+    if (newest.era != state.era)
+        return;
     sync_of(state, record_group::rules).newest_peer_revision = newest.rules;
     sync_of(state, record_group::servers).newest_peer_revision = newest.servers;
 }
 
-void remove_expired_servers(store_state& state)
+void apply_due_removals(store_state& state)
 {
-    publish_effect(state, decisions::remove_expired_servers(
-                              state.discovery, current_time(state)));
+    publish_effect(state, decisions::apply_due_removals(state.discovery,
+                                                        current_time(state)));
 }
 
 } // namespace bramleyarch::services
--- a/source/services/store/registration.cpp
+++ b/source/services/store/registration.cpp
@@ -116,6 +116,20 @@
     }
 }
 
+void restart_registration(store_state& state)
+{
+    if (state.draining)
+        return;
+    if (state.lease_request.id != 0)
+        state.transport.close(state.lease_request.id);
+    state.lease_request = {};
+    state.registration = registration_stage::unregistered;
+    // All routers do this at the same time.
+    constexpr std::uint32_t longest_delay = 4;
+    state.next_lease_request =
+        current_time(state) + backoff_delay(state, longest_delay);
+}
+
 void deregister_router(store_state& state)
 {
     state.draining = true;
--- a/source/services/store/rollout_status.cpp
+++ b/source/services/store/rollout_status.cpp
@@ -173,6 +173,18 @@
     }
 }
 
+void restart_rollouts(store_state& state)
+{
+    for (auto& [service, sync] : state.rollouts)
+    {
+        if (sync.request.id != 0)
+            state.transport.close(sync.request.id);
+        sync.request = {};
+        decisions::record_loss(sync.record);
+        send_due_call(state, sync);
+    }
+}
+
 void send_due_rollout_calls(store_state& state)
 {
     for (auto& [service, sync] : state.rollouts)
--- a/source/services/store/store_parts.hpp
+++ b/source/services/store/store_parts.hpp
@@ -35,6 +35,10 @@
 /// is complete.
 void send_sync_request(store_state& state, group_sync& sync);
 
+/// Lists the rules and servers again, whatever was read before. The routers
+/// follow once this router is registered.
+void restart_syncs(store_state& state);
+
 /// Handles the complete response to the group's list or watch.
 void handle_sync_response(store_state& state, group_sync& sync);
 
@@ -59,9 +63,10 @@
 /// Records the revisions of the newest changes that peers advertise.
 void record_peer_revisions(store_state& state, known_revisions const& newest);
 
-/// Removes the servers that were unlisted while the store was unavailable and
-/// have not been listed again in time.
-void remove_expired_servers(store_state& state);
+/// Removes the servers that were unlisted while the store was unavailable, or
+/// that an older copy of it lacks, and have not been listed again in time. Does
+/// the same for domains taken out.
+void apply_due_removals(store_state& state);
 
 /// Applies changes that arrived together and publishes their effect once.
 void apply_changes(store_state& state,
@@ -88,6 +93,9 @@
 /// drops the decision and the request of one that was replaced or withdrawn.
 void update_rollouts(store_state& state);
 
+/// Reads the statuses again, and writes those that are missing.
+void restart_rollouts(store_state& state);
+
 /// Sends the reads and writes of statuses that are due.
 void send_due_rollout_calls(store_state& state);
 
@@ -106,6 +114,9 @@
 /// flight.
 void send_due_lease_request(store_state& state);
 
+/// Registers this router again, under a new lease, unless it is stopping.
+void restart_registration(store_state& state);
+
 /// Handles the complete response to a request for the lease or to the write
 /// of the router's record.
 void handle_lease_response(store_state& state);
--- a/source/services/store/store_service.cpp
+++ b/source/services/store/store_service.cpp
@@ -3,6 +3,7 @@
 #include "services/messages/names.hpp"
 #include "services/store/store_parts.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <thread>
 #include <utility>
@@ -41,25 +42,49 @@
 
 void handle_event(store_state&, pending_request&, http::request_sent const&) {}
 
-/// Notes the era that a response states.
-void record_era(store_state& state, http::response_head const& head)
+/// Reads everything again after the store came back from an older copy.
+/// Requests in flight are abandoned: their responses may mix both.
+void begin_era(store_state& state, std::uint64_t era)
 {
-    auto const era = state.options.codec.decode_era(head.headers);
-    if (era == 0 || era == state.era)
-        return;
-    if (state.era != 0)
+    count(state.telemetry_sink, counter::store_restores);
+    log(state.telemetry_sink, log_severity::warning, "store_restored",
+        fmt::format("era={} before={}", era, state.era));
+    state.era = era;
+    decisions::record_store_restored(state.discovery, current_time(state));
+    for (auto const& [service, check] : state.order_checks)
     {
-        count(state.telemetry_sink, counter::store_restores);
-        log(state.telemetry_sink, log_severity::warning, "store_restored",
-            fmt::format("era={} before={}", era, state.era));
+        if (check.request.id != 0)
+            state.transport.close(check.request.id);
     }
-    state.era = era;
+    state.order_checks.clear();
+    restart_syncs(state);
+    restart_registration(state);
+    restart_rollouts(state);
 }
 
+void handle_event(store_state& state, pending_request& request,
+                  http::response_failed const& failed);
+
 void handle_event(store_state& state, pending_request& request,
                   http::response_head const& head)
 {
-    record_era(state, head);
+    auto const era = state.options.codec.decode_era(head.headers);
+    if (era > state.era && state.era != 0)
+    {
+        begin_era(state, era);
+        return;
+    }
+    if (era != 0 && era < state.era)
+    {
+        state.transport.close(head.id);
+        handle_event(state, request,
+                     http::response_failed{
+                         .id = head.id,
+                         .cause = {error_kind::platform_unavailable,
+                                   "the response is of an earlier era"}});
+        return;
+    }
+    state.era = std::max(state.era, era);
     request.status = head.status;
     request.head_received_at = current_time(state);
     request.last_byte_at = request.head_received_at;
@@ -136,7 +161,7 @@
 void handle_message(store_state& state, context& ctx, store_tick)
 {
     schedule(ctx, tick_interval, store_tick{});
-    remove_expired_servers(state);
+    apply_due_removals(state);
     send_due_sync_requests(state);
     send_due_lease_request(state);
     send_due_rollout_calls(state);
--- a/tests/unit/decisions/discovery_test.cpp
+++ b/tests/unit/decisions/discovery_test.cpp
@@ -145,9 +145,9 @@
     apply_change(state, server_removed(6, "s2"), begin + 10s);
     BOOST_TEST(has_server("s1"));
     apply_change(state, server(7, "s1"), begin + 11s);
-    remove_expired_servers(state, begin + 12s);
+    apply_due_removals(state, begin + 12s);
     BOOST_TEST(has_server("s2"));
-    BOOST_TEST(remove_expired_servers(state, begin + 13s).deployment_changed);
+    BOOST_TEST(apply_due_removals(state, begin + 13s).deployment_changed);
     BOOST_TEST(has_server("s1"));
     BOOST_TEST(!has_server("s2"));
 }
@@ -173,8 +173,7 @@
 {
     apply_change(state, server(1, "s1"), begin);
     record_store_unavailable(state);
-    BOOST_TEST(
-        !remove_expired_servers(state, begin + 1000s).deployment_changed);
+    BOOST_TEST(!apply_due_removals(state, begin + 1000s).deployment_changed);
     BOOST_TEST(has_server("s1"));
 }
 
@@ -186,12 +185,12 @@
     detect_mass_expiry(state, {server_removed(2, "s1")});
     apply_change(state, server_removed(2, "s1"), begin + 1s);
     record_store_unavailable(state);
-    remove_expired_servers(state, begin + 100s);
+    apply_due_removals(state, begin + 100s);
     BOOST_TEST(has_server("s1"));
     record_store_available(state, begin + 101s);
-    remove_expired_servers(state, begin + 102s);
+    apply_due_removals(state, begin + 102s);
     BOOST_TEST(has_server("s1"));
-    remove_expired_servers(state, begin + 104s);
+    apply_due_removals(state, begin + 104s);
     BOOST_TEST(!has_server("s1"));
 }
 
@@ -327,4 +326,91 @@
     BOOST_TEST(missing[0] == "servers/s1");
 }
 
+// Guards against a confirmed change that is taken for an old one, since its
+// revision was given out before the store came back from an older copy.
+BOOST_AUTO_TEST_CASE(rules_of_a_revision_given_out_again_are_adopted)
+{
+    apply_change(state, rules(34, 12), begin);
+    record_store_restored(state, begin + 1s);
+    // The copy holds what was written before.
+    apply_change(state, rules(28, 9), begin + 1s);
+    BOOST_TEST(state.deployment.rules->version == 12U);
+    apply_change(state, rules(34, 15), begin + 2s);
+    BOOST_TEST(state.deployment.rules->version == 15U);
+}
+
+// Guards against servers that are dropped because an older copy of the store
+// does not have them yet, and against those that are kept although they left.
+BOOST_AUTO_TEST_CASE(servers_that_a_copy_lacks_have_time_to_register_again)
+{
+    for (auto const* const id : {"s1", "s2", "s3"})
+        apply_change(state, server(10, id), begin);
+    record_store_restored(state, begin + 10s);
+    apply_change(state, server(10, "s1"), begin + 10s);
+    apply_change(state, server_removed(10, "s2"), begin + 10s);
+    apply_change(state, server_removed(10, "s3"), begin + 10s);
+    BOOST_TEST(state.deployment.servers.size() == 3U);
+    apply_change(state, server(11, "s2", 1, false, 2), begin + 11s);
+    apply_due_removals(state, begin + 12s);
+    BOOST_TEST(state.deployment.servers.size() == 3U);
+    apply_due_removals(state, begin + 12500ms);
+    BOOST_TEST(has_server("s1"));
+    BOOST_TEST(has_server("s2"));
+    BOOST_TEST(!has_server("s3"));
+}
+
+// Guards against requests to servers that have left, which an older copy of the
+// store still lists.
+BOOST_AUTO_TEST_CASE(ended_runs_of_servers_stay_ended_in_a_copy)
+{
+    apply_change(state, server(10, "s1", 1, false, 4), begin);
+    apply_change(state, server(11, "s2", 1, true, 4), begin);
+    apply_change(state, server_removed(12, "s1"), begin + 1s);
+    apply_change(state, server_removed(13, "s2"), begin + 1s);
+    record_store_restored(state, begin + 5s);
+    apply_change(state, server(10, "s1", 1, false, 4), begin + 5s);
+    apply_change(state, server(9, "s2", 1, false, 3), begin + 5s);
+    BOOST_TEST(state.deployment.servers.empty());
+    // One that writes again runs; that it leaves is not undone.
+    apply_change(state, server(12, "s1", 1, false, 5), begin + 6s);
+    apply_change(state, server(13, "s2", 1, false, 5), begin + 6s);
+    BOOST_TEST(has_server("s1"));
+    BOOST_TEST(!state.deployment.servers.at({"s1"}).leaving);
+    BOOST_TEST(state.deployment.servers.at({"s2"}).leaving);
+    apply_change(state, server(14, "s2", 2), begin + 7s);
+    BOOST_TEST(!state.deployment.servers.at({"s2"}).leaving);
+    apply_due_removals(state, begin + 5min);
+    BOOST_TEST(state.ended_runs.empty());
+}
+
+// Guards against requests to a domain that was taken out after the copy was
+// made, until its record is written again.
+BOOST_AUTO_TEST_CASE(domains_stay_taken_out_until_their_records_return)
+{
+    auto const out = [](revision changed, std::string const& domain)
+    {
+        return record_change{.key = "out/" + domain,
+                             .changed = changed,
+                             .content = domain_taken_out{{domain}}};
+    };
+    auto const back = [&](revision changed, std::string const& domain)
+    {
+        auto change = out(changed, domain);
+        change.removed = true;
+        return change;
+    };
+    apply_change(state, out(10, "a"), begin);
+    apply_change(state, out(11, "b"), begin);
+    record_store_restored(state, begin + 5s);
+    apply_change(state, back(9, "a"), begin + 5s);
+    apply_change(state, back(9, "b"), begin + 5s);
+    BOOST_TEST(state.deployment.taken_out.size() == 2U);
+    apply_change(state, out(10, "a"), begin + 6s);
+    BOOST_TEST(apply_due_removals(state, begin + 8s).deployment_changed);
+    BOOST_TEST(state.deployment.taken_out.contains({"a"}));
+    BOOST_TEST(!state.deployment.taken_out.contains({"b"}));
+    apply_change(state, back(12, "a"), begin + 9s);
+    BOOST_TEST(state.deployment.taken_out.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/services/peers/peers_service_test.cpp
+++ b/tests/unit/services/peers/peers_service_test.cpp
@@ -420,4 +420,40 @@
     BOOST_TEST(received_heartbeats.front().servers_revision == 22U);
 }
 
+// Guards against revisions of before the store was restored that hide later
+// ones, which are lower.
+BOOST_AUTO_TEST_CASE(revisions_of_a_later_era_replace_those_of_an_earlier_one)
+{
+    send_heartbeat({.from = {"r2"},
+                    .started = 5,
+                    .sequence = 1,
+                    .store_era = 1,
+                    .servers_revision = 90});
+    send_heartbeat({.from = {"r3"},
+                    .started = 5,
+                    .sequence = 1,
+                    .store_era = 2,
+                    .servers_revision = 70});
+    send_heartbeat({.from = {"r2"},
+                    .started = 5,
+                    .sequence = 2,
+                    .store_era = 1,
+                    .servers_revision = 95});
+    send_heartbeat({.from = {"r2"},
+                    .started = 5,
+                    .sequence = 3,
+                    .store_era = 2,
+                    .servers_revision = 71});
+    std::vector<revision> reported;
+    run_until(
+        [&]
+        {
+            reported.clear();
+            for (auto const& report : received<peer_revisions_received>(*store))
+                reported.push_back(report.revisions.servers);
+            return !reported.empty() && reported.back() == 71;
+        });
+    BOOST_CHECK(reported == (std::vector<revision>{90, 70, 71}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/services/store/rollout_status_test.cpp
+++ b/tests/unit/services/store/rollout_status_test.cpp
@@ -363,4 +363,21 @@
     BOOST_TEST(published().rollouts.empty());
 }
 
+// Guards against a status that operators do not find, since the store came back
+// from a copy that lacks it.
+BOOST_AUTO_TEST_CASE(a_status_that_the_store_has_lost_is_written_again)
+{
+    era = 1;
+    start_with_order();
+    respond_text("read desk", 404, "");
+    decide(rollout_state::succeeded);
+    respond_text("write desk 11 v2 succeeded if 0", 200, "12");
+    era = 2;
+    runtime.advance(1s);
+    respond("watch servers", {}, 410);
+    BOOST_TEST(count("read desk") == 2U);
+    respond_text("read desk", 404, "");
+    BOOST_TEST(count("write desk 11 v2 succeeded if 0") == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/services/store/store_service_test.cpp
+++ b/tests/unit/services/store/store_service_test.cpp
@@ -244,4 +244,81 @@
     BOOST_TEST(count("grant") == 2U);
 }
 
+// Guards against changes that are not in force since the store came back from
+// an older copy: their revisions were applied before.
+BOOST_AUTO_TEST_CASE(changes_of_a_new_era_are_applied_at_lower_revisions)
+{
+    era = 1;
+    complete_start();
+    respond("watch servers",
+            {.changes = {change("servers/i-3", 14)}, .as_of = 14});
+    era = 2;
+    runtime.advance(1s);
+    respond("watch servers", {}, 410);
+    // Both groups are listed, also the one whose watch has not returned.
+    BOOST_TEST(count("list rules") == 2U);
+    BOOST_TEST(count("list servers") == 2U);
+    respond("list rules", {.as_of = 10});
+    respond("list servers",
+            {.changes = {change("servers/i-1", 8), change("servers/i-2", 9)},
+             .as_of = 10});
+    BOOST_TEST(server_count() == 3U);
+    BOOST_TEST(last("watch rules").target == "watch rules 10 10000");
+    respond("watch servers",
+            {.changes = {change("servers/i-4", 14)}, .as_of = 14});
+    BOOST_TEST(server_count() == 4U);
+    runtime.advance(3s);
+    BOOST_TEST(server_count() == 3U);
+}
+
+// Guards against a router that is not listed: the lease and the record that it
+// wrote are lost.
+BOOST_AUTO_TEST_CASE(router_registers_again_in_a_new_era)
+{
+    era = 1;
+    complete_start();
+    era = 2;
+    respond("watch rules", {.as_of = 9});
+    runtime.advance(1s);
+    BOOST_TEST(count("grant") == 2U);
+    respond("grant", {});
+    respond("register", {});
+    BOOST_TEST(count("list routers") == 2U);
+    BOOST_TEST(last("list routers").target == "list routers ");
+}
+
+// Guards against a late response that brings back what was before the restore.
+BOOST_AUTO_TEST_CASE(response_of_an_earlier_era_is_not_used)
+{
+    era = 2;
+    complete_start();
+    era = 1;
+    respond("watch servers",
+            {.changes = {change("servers/i-9", 40)}, .as_of = 40});
+    BOOST_TEST(server_count() == 2U);
+    era = 2;
+    runtime.advance(1s);
+    BOOST_TEST(last("watch servers").target == "watch servers 10 500");
+}
+
+// Guards against watches that are replaced in vain, or too late, by what peers
+// advertise of another era.
+BOOST_AUTO_TEST_CASE(revisions_of_peers_count_within_an_era)
+{
+    era = 2;
+    complete_start();
+    send(store, peer_revisions_received{{.era = 1, .servers = 99}});
+    runtime.advance(3s);
+    BOOST_TEST(count("watch servers") == 1U);
+    // Peers know that the store was restored; this router's watches are dead.
+    send(store, peer_revisions_received{{.era = 3, .servers = 4}});
+    runtime.run_until_idle();
+    BOOST_TEST(last("watch servers").target == "watch servers 10 500");
+    era = 3;
+    respond("watch servers", {.as_of = 10});
+    BOOST_TEST(count("list servers") == 2U);
+    BOOST_TEST(received<known_revisions>(*peers).back().era == 3U);
+    BOOST_TEST(received<known_revisions>(*peers).back().servers == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
