Refuse answers whose status is none

What callers saw: a request whose server answered with the status 000 got nothing until its time limit, and was tried nowhere else.

Cause: the parser accepts any three digits, and every status below 200 passed for that of an interim answer, so that the client waited for the final one. Callers never got it as an answer, which other operators have seen.

Change: a status outside of 100 to 599 makes the answer malformed.

Evidence: answer_without_a_valid_status_fails_at_once failed before (no end of the request with 000) and passes now. The other report, a part of a 200 without a length that is reset during a long upload, does not happen here: answer_that_is_reset_during_the_request_fails passes on the code of before too.

--- a/source/http/message.cpp
+++ b/source/http/message.cpp
@@ -47,6 +47,13 @@
     return go_on;
 }
 
+/// Returns whether a status is in one of the classes of RFC 9110. The parser
+/// accepts any three digits.
+bool is_status(int status)
+{
+    return status >= 100 && status <= 599;
+}
+
 int on_head_complete(http_parser* parser)
 {
     auto& p = self(parser);
@@ -57,6 +64,8 @@
                       : 0;
     if (p.kind == message_kind::request)
         head.method = http_method_str(static_cast<http_method>(parser->method));
+    if (p.kind == message_kind::response && !is_status(head.status))
+        return stop;
     head.minor_version = parser->http_minor;
     head.chunked = (parser->flags & F_CHUNKED) != 0;
     if ((parser->flags & F_CONTENTLENGTH) != 0)
--- a/tests/unit/http/client_answer_test.cpp
+++ b/tests/unit/http/client_answer_test.cpp
@@ -238,4 +238,44 @@
     }
 }
 
+// Guards against a part of an answer that passes for whole: its end is the end
+// of its connection, which the server resets while the request is still being
+// sent.
+BOOST_AUTO_TEST_CASE(answer_that_is_reset_during_the_request_fails)
+{
+    std::string const large(20'000'000, 'b');
+    for (int i = 0; i < 20; ++i)
+    {
+        seen = {};
+        testing::raw_server server{
+            {.read_request = false,
+             .parts = {"HTTP/1.1 200 OK\r\n\r\n", "a part"},
+             .then = ending::reset,
+             .pause = std::chrono::milliseconds{i % 5 * 10}}};
+        http::open(*client, request_to(server.port(), large));
+        finish();
+        BOOST_TEST(seen.ends == 0U, "pause " << i % 5 * 10);
+    }
+}
+
+// Guards against a status that is none: it passed for that of an interim
+// answer, so that the request waited until its time limit for another one.
+BOOST_AUTO_TEST_CASE(answer_without_a_valid_status_fails_at_once)
+{
+    for (std::string const status : {"000", "0", "7", "099", "600", "999"})
+    {
+        seen = {};
+        testing::raw_server server{
+            {.parts = {"HTTP/1.1 " + status +
+                       " None\r\ncontent-length: 2\r\n\r\nok"},
+             .then = ending::hold}};
+        http::open(*client, request_to(server.port()));
+        finish();
+        BOOST_TEST(!seen.head, status);
+        BOOST_REQUIRE(seen.failures.size() == 1U);
+        BOOST_TEST((seen.failures[0].cause.kind == error_kind::server_protocol),
+                   status);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/http/raw_server.cpp
+++ b/tests/unit/http/raw_server.cpp
@@ -191,6 +191,7 @@
         then = serve_once(server, socket);
     if (then == ending::hold)
         hold(server, socket);
+    std::this_thread::sleep_for(server.script.pause);
     boost::system::error_code failed;
     std::lock_guard const lock{server.mutex};
     if (then == ending::reset)
--- a/tests/unit/http/raw_server.hpp
+++ b/tests/unit/http/raw_server.hpp
@@ -2,6 +2,7 @@
 /// that it was told to write, and ends the connection in the way it was told.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -34,6 +35,8 @@
     bool read_request = true; ///< False: write and end at once.
     std::vector<std::string> parts{};
     ending then = ending::close;
+    /// Time between the last byte and the end of the connection.
+    std::chrono::milliseconds pause{};
     /// The first one that fits a request goes before `parts` and `then`.
     std::vector<raw_reply> replies{};
 };
