Keep prompts at servers that have room while others state limits

Cause: servers that take little lowered the mean load, so that all others were above the bound up to which they get the requests of their prompts. A prompt whose first server had reached its limit went to any limited server that accepted a request just then.

Change: the mean leaves out servers that state a limit, unless all do; these get prompts of other servers only if no server without a limit has room.

--- a/source/decisions/server_choice.cpp
+++ b/source/decisions/server_choice.cpp
@@ -198,16 +198,20 @@
         return server_choice{.index = least_utilised(candidates, bound, draw)};
     auto const order = prefix_order(candidates, *prefix, draw);
     auto const replicas = std::min(prefix->replicas, order.size());
-    for (auto const index : order)
+    for (bool const overflows : {false, true})
     {
-        auto const& server = candidates[index];
-        if (!has_room(server, bound))
-            continue;
-        auto const first =
-            replicas > 1 ? choice_cause::hot_prompt : choice_cause::preferred;
-        return server_choice{
-            .index = index,
-            .cause = index == order.front() ? first : choice_cause::overflow};
+        for (auto const index : order)
+        {
+            auto const& server = candidates[index];
+            if (server.overflow_only != overflows || !has_room(server, bound))
+                continue;
+            auto const first = replicas > 1 ? choice_cause::hot_prompt
+                                            : choice_cause::preferred;
+            return server_choice{.index = index,
+                                 .cause = index == order.front()
+                                              ? first
+                                              : choice_cause::overflow};
+        }
     }
     return server_choice{.index = least_utilised(candidates, bound, draw)};
 }
@@ -243,7 +247,8 @@
     {
         if (considered >= work_options.max_alternatives)
             break;
-        if (index == usual->index || !has_room(candidates[index], bound))
+        if (index == usual->index || candidates[index].overflow_only ||
+            !has_room(candidates[index], bound))
             continue;
         ++considered;
         server_choice const other{index, choice_cause::other_pace};
--- a/source/decisions/server_choice.hpp
+++ b/source/decisions/server_choice.hpp
@@ -27,6 +27,11 @@
     double load = 0;         ///< Requests in flight, of all routers.
     std::uint32_t slots = 1; ///< Requests that it can run at once.
     bool own_domain = false; ///< In the failure domain of this router.
+    /// It accepts few requests and is not the first server of the prefix. It
+    /// gets requests with a prefix only if no other server has room, so that
+    /// prefixes do not spread over all servers that accept a request at the
+    /// moment.
+    bool overflow_only = false;
     /// Time that work takes, relative to the usual time. Only used where a
     /// server of the service states its pace, as are the members below.
     double pace = 1;
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -28,7 +28,9 @@
     std::vector<decisions::server_candidate> candidates;
 };
 
-/// Load of all listed servers of a service.
+/// Load of the listed servers of a service. Servers that state a limit do not
+/// count, unless all do: what they do not take makes the mean of the others
+/// rise, and prompts would leave servers that have room for them.
 struct service_load
 {
     double in_flight = 0;
@@ -42,16 +44,22 @@
 
 service_load total_load(entry_state const& state, service_id const& service)
 {
-    service_load load;
+    service_load all;
+    service_load unlimited;
     for (auto const& [id, server] : state.servers)
     {
         if (server.listed.service != service)
             continue;
-        load.in_flight +=
+        auto const in_flight =
             server.local_in_flight + remote_in_flight(state, server);
-        load.servers += 1;
+        all.in_flight += in_flight;
+        all.servers += 1;
+        if (decisions::limit_of(state.request_limits, run_of(server)))
+            continue;
+        unlimited.in_flight += in_flight;
+        unlimited.servers += 1;
     }
-    return load;
+    return unlimited.servers > 0 ? unlimited : all;
 }
 
 /// Returns the prefix of the request's prompt that other requests share, with
@@ -233,6 +241,36 @@
     return !cold.servers.empty() ? cold : ejected;
 }
 
+/// Leaves the candidates that state a limit to the prefixes whose first server
+/// they are, as long as others have room.
+void reserve_limited_servers(
+    entry_state const& state, service_id const& service,
+    eligible_servers& eligible,
+    std::optional<decisions::shared_prefix> const& prefix)
+{
+    if (!prefix || decisions::count_limited(state.request_limits) == 0)
+        return;
+    std::uint64_t first = 0;
+    std::uint64_t greatest_weight = 0;
+    for (auto const& [id, server] : state.servers)
+    {
+        if (!is_in_use(state, service, server))
+            continue;
+        auto const weight = decisions::prefix_weight(*prefix, server.hash);
+        if (weight < greatest_weight)
+            continue;
+        greatest_weight = weight;
+        first = server.hash;
+    }
+    for (std::size_t i = 0; i < eligible.servers.size(); ++i)
+    {
+        auto const& server = *eligible.servers[i];
+        eligible.candidates[i].overflow_only =
+            server.hash != first &&
+            decisions::limit_of(state.request_limits, run_of(server));
+    }
+}
+
 /// Sets the earliest time of the next request to a cold server, so that it
 /// stays within its rate.
 void schedule_next_cold_send(entry_state& state, backend_server& server,
@@ -427,9 +465,10 @@
     if (eligible.servers.empty() && leave_new_version(request))
         eligible = find_eligible_servers(state, request, at);
     auto const load = total_load(state, request.routed.service);
-    auto const choice =
-        choose_server(state, request, eligible.candidates, mean_load(load),
-                      shared_prefix_for(state, request, load, at), at);
+    auto const prefix = shared_prefix_for(state, request, load, at);
+    reserve_limited_servers(state, request.routed.service, eligible, prefix);
+    auto const choice = choose_server(state, request, eligible.candidates,
+                                      mean_load(load), prefix, at);
     if (!choice)
     {
         if (is_beyond_limits(state, request.routed.service, at))
--- a/tests/unit/decisions/server_choice_test.cpp
+++ b/tests/unit/decisions/server_choice_test.cpp
@@ -230,4 +230,39 @@
     BOOST_TEST(!select_server({}, 0, shared_prefix{5}, {}, 0).has_value());
 }
 
+// Guards against prompts that are copied to every server which accepts a
+// request at the moment: many servers accept a few requests each.
+BOOST_AUTO_TEST_CASE(prefixes_overflow_to_servers_that_accept_many_requests)
+{
+    auto servers = make_servers(18);
+    for (std::size_t i = 0; i < 12; ++i)
+        servers[i].overflow_only = true;
+    std::map<std::size_t, std::set<std::size_t>> used;
+    for (std::uint64_t draw = 0; draw < 200; ++draw)
+    {
+        auto const key = draw % 20;
+        auto tried = servers;
+        // Servers with a limit accept some of the requests only.
+        std::erase_if(tried,
+                      [draw](auto const& server) {
+                          return server.overflow_only &&
+                                 mix(server.hash, draw) % 2 == 0;
+                      });
+        auto const choice =
+            select_server(tried, 4, shared_prefix{1 + key, 1000}, {}, draw);
+        BOOST_REQUIRE(choice);
+        BOOST_TEST(!tried[choice->index].overflow_only);
+        used[key].insert(tried[choice->index].hash);
+    }
+    for (auto const& [key, hashes] : used)
+        BOOST_TEST(hashes.size() == 1U);
+    // They are used once the others have no room.
+    for (std::size_t i = 12; i < servers.size(); ++i)
+        servers[i].load = 64;
+    auto const choice =
+        select_server(servers, 4, shared_prefix{1, 1000}, {}, 1);
+    BOOST_REQUIRE(choice);
+    BOOST_TEST(servers[choice->index].overflow_only);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/services/entry/limit_test.cpp
+++ b/tests/unit/services/entry/limit_test.cpp
@@ -190,4 +190,36 @@
     BOOST_TEST(other.backend->sent.size() == 12);
 }
 
+// Guards against prompts that leave the servers which hold them: what servers
+// with a limit do not take made the others look overloaded.
+BOOST_AUTO_TEST_CASE(prompts_stay_with_servers_that_have_room)
+{
+    for (auto const* const id : {"s2", "s3", "s4"})
+        add_server(id);
+    publish_deployment();
+    for (int i = 0; i < 20; ++i)
+        submit_answered(1, "0.1");
+    add_server("s5");
+    add_server("s6");
+    publish_deployment();
+    decisions::shared_prefix const prefix{.key = 1};
+    bool const fifth_first = decisions::prefix_weight(prefix, name_hash("s5")) >
+                             decisions::prefix_weight(prefix, name_hash("s6"));
+    server_id const first{fifth_first ? "s5" : "s6"};
+    // Five requests are in flight at the first server, four at the other.
+    std::optional<attempt_id> elsewhere;
+    for (int i = 0; i < 10; ++i)
+    {
+        submit(non_idempotent);
+        if (backend->sent.back().server != first)
+            elsewhere = backend->sent.back().attempt;
+    }
+    BOOST_REQUIRE(elsewhere);
+    deliver(backend_send_started{*elsewhere});
+    deliver(backend_head{*elsewhere, 200, {}});
+    deliver(backend_end{*elsewhere});
+    submit(idempotent, 1, {.prompt = {{1, 1000}, {99, 10}}});
+    BOOST_TEST(backend->sent.back().server.value == first.value);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
