Keep servers in use while a restored store is listed

What callers would see: after the store was restored, servers whose version no other server has got no requests until the operators' records were listed.

Cause: the wait for the order of a rollout compares revisions, which a new era forgets, and took servers in use for new ones.

Change: a server whose version is in use, its own included, is not held.

Evidence: servers_in_use_are_not_held_in_a_copy failed before.

--- a/source/decisions/discovery.cpp
+++ b/source/decisions/discovery.cpp
@@ -134,7 +134,7 @@
 
 /// True if an entry may not be used yet: its version differs from those in use,
 /// and an order that was written before the entry may not be known. The first
-/// server of a service is used at once.
+/// server of a service is used at once, and one in use stays so.
 bool should_hold(discovery const& state, config::listed_server const& server,
                  revision changed)
 {
@@ -145,11 +145,11 @@
     bool has_others = false;
     for (auto const& [id, other] : state.deployment.servers)
     {
-        if (other.service != server.service || id == server.id)
+        if (other.service != server.service)
             continue;
         if (other.version == server.version)
             return false;
-        has_others = true;
+        has_others = has_others || id != server.id;
     }
     return has_others && changed > known;
 }
--- a/tests/unit/decisions/discovery_test.cpp
+++ b/tests/unit/decisions/discovery_test.cpp
@@ -413,4 +413,25 @@
     BOOST_TEST(state.deployment.taken_out.empty());
 }
 
+// Guards against servers that get no requests for a time, since their entries
+// are listed before the operators' records after the store was restored.
+BOOST_AUTO_TEST_CASE(servers_in_use_are_not_held_in_a_copy)
+{
+    auto const of_version =
+        [](revision changed, std::string const& id, std::string const& version)
+    {
+        auto change = server(changed, id);
+        std::get<server_entry>(change.content).server.version = version;
+        return change;
+    };
+    record_operators_read(state, 10, begin);
+    apply_change(state, of_version(5, "s1", "v1"), begin);
+    apply_change(state, of_version(6, "s2", "v2"), begin);
+    BOOST_TEST(state.deployment.servers.size() == 2U);
+    record_store_restored(state, begin + 1s);
+    apply_change(state, of_version(5, "s1", "v1"), begin + 1s);
+    apply_change(state, of_version(6, "s2", "v2"), begin + 1s);
+    BOOST_TEST(state.deployment.servers.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
