Do not overload servers without a limit beside those that state one

Cause: a server without a limit accepted any number of requests, whatever its load, so that the excess over all limits ended up there.

Change: while a server of a service states a limit, full servers get no more, and what has no room is refused at once with Retry-After.

--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -212,9 +212,29 @@
          .own_domain = server.listed.domain == state.options.domain});
 }
 
+/// Returns whether a server of the service states a limit.
+bool has_limited_server(entry_state const& state, service_id const& service)
+{
+    return std::ranges::any_of(
+        state.servers,
+        [&](auto const& entry)
+        {
+            return entry.second.listed.service == service &&
+                   decisions::limit_of(state.request_limits,
+                                       run_of(entry.second));
+        });
+}
+
+bool is_full(entry_state const& state, backend_server const& server)
+{
+    return server.local_in_flight + remote_in_flight(state, server) >=
+           std::max(server.listed.slots, 1U);
+}
+
 /// Returns the warm servers that are not ejected. If there are none, returns
 /// the cold servers within their rate; if there are none of these either, the
-/// ejected servers.
+/// ejected servers. While servers of the service state limits, full servers are
+/// left out: what the others do not take would make them fall behind.
 eligible_servers find_eligible_servers(entry_state& state,
                                        entry_request const& request,
                                        time_point at)
@@ -222,9 +242,12 @@
     eligible_servers available;
     eligible_servers ejected;
     eligible_servers cold;
+    bool const beside_limits =
+        has_limited_server(state, request.routed.service);
     for (auto& [id, server] : state.servers)
     {
-        if (!is_eligible(state, request, server, at))
+        if (!is_eligible(state, request, server, at) ||
+            (beside_limits && is_full(state, server)))
             continue;
         if (server.cold_until > at)
         {
--- a/tests/unit/services/entry/limit_test.cpp
+++ b/tests/unit/services/entry/limit_test.cpp
@@ -185,7 +185,12 @@
     send(other.entry,
          peer_heartbeat_received{{.from = {"r2"}, .server_limits = reported}});
     for (int i = 0; i < 40; ++i)
+    {
+        auto const sent = other.backend->sent.size();
         other.submit(idempotent);
+        if (other.backend->sent.size() > sent)
+            other.answer_last_attempt(200, "ok", {{"limit", "8"}});
+    }
     // A single router may use all that a burst may have, 0.6 x (16 + 5).
     BOOST_TEST(other.backend->sent.size() == 12);
 }
@@ -222,4 +227,26 @@
     BOOST_TEST(backend->sent.back().server.value == first.value);
 }
 
+// Guards against a server without a limit that falls behind with all that the
+// others do not take, so that its callers wait until their deadlines.
+BOOST_AUTO_TEST_CASE(server_without_a_limit_gets_no_more_than_its_slots)
+{
+    submit_answered(8, "8");
+    add_server("s2");
+    publish_deployment();
+    auto const sent = backend->sent.size();
+    for (int i = 0; i < 10; ++i)
+        submit(idempotent);
+    BOOST_TEST(backend->sent.size() == sent + 6);
+    BOOST_REQUIRE(last_caller().error);
+    BOOST_TEST((last_caller().error->known == outcome::not_run));
+    BOOST_TEST((last_caller().error->retry_after > 0s));
+    // Without limits a full server queues requests, as before.
+    deployment.servers.erase({"s1"});
+    publish_deployment();
+    for (int i = 0; i < 10; ++i)
+        submit(idempotent);
+    BOOST_TEST(backend->sent.size() == sent + 16);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
