--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -172,8 +172,8 @@
     return shortest.value_or(duration::zero());
 }
 
-/// Returns whether a server of the service would accept a request now if it
-/// stated no limit.
+/// Returns whether a server of the service accepts no request of this router
+/// now because of the limit that it states.
 bool is_beyond_limits(entry_state const& state, service_id const& service,
                       time_point at)
 {
--- a/source/services/store/registration.cpp
+++ b/source/services/store/registration.cpp
@@ -124,10 +124,10 @@
         state.transport.close(state.lease_request.id);
     state.lease_request = {};
     state.registration = registration_stage::unregistered;
-    // All routers do this at the same time.
-    constexpr std::uint32_t longest_delay = 4;
+    // All routers do this at the same time, so that the delay is the longest.
+    constexpr std::uint32_t failures = 4;
     state.next_lease_request =
-        current_time(state) + backoff_delay(state, longest_delay);
+        current_time(state) + backoff_delay(state, failures);
 }
 
 void deregister_router(store_state& state)
