Ask servers whose limit has not been heard whether it holds

Cause: only an answer shows the end of a limit. Of 295 routers eight may send to such a server, and their prompts mostly lead elsewhere.

Change: a router that may send to a server whose limit no router has heard for a second sends its next request there.

--- a/source/decisions/request_limits.cpp
+++ b/source/decisions/request_limits.cpp
@@ -137,6 +137,13 @@
     return limit ? limit->rate : std::nullopt;
 }
 
+bool needs_refresh(request_limits const& state, std::uint64_t run,
+                   time_point at)
+{
+    auto const* const limit = find_limit(state, run);
+    return limit && at - limit->stated_at >= state.options.refresh_interval;
+}
+
 std::size_t count_limited(request_limits const& state)
 {
     return static_cast<std::size_t>(
--- a/source/decisions/request_limits.hpp
+++ b/source/decisions/request_limits.hpp
@@ -33,6 +33,10 @@
     /// Requests per second that are sent to a server with a lower limit, since
     /// only an answer shows that the limit has ended.
     double min_rate = 0.2;
+    /// Time after which a limit may have ended if no router has heard it again;
+    /// a small part of the time in which the load of a service has to be even
+    /// again.
+    duration refresh_interval = std::chrono::seconds{1};
     /// Time for which a limit is kept after it was last stated.
     duration retention = std::chrono::minutes{10};
     /// Time for which the end of a limit is sent to the other routers.
@@ -94,6 +98,11 @@
 /// Returns the limit of the run, or std::nullopt.
 std::optional<double> limit_of(request_limits const& state, std::uint64_t run);
 
+/// Returns whether a request should be sent to the run of a server to find out
+/// whether its limit still holds.
+bool needs_refresh(request_limits const& state, std::uint64_t run,
+                   time_point at);
+
 /// Returns the number of runs that have a limit.
 std::size_t count_limited(request_limits const& state);
 
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -294,6 +294,22 @@
     }
 }
 
+/// Returns the index of a candidate whose limit no router has heard lately. In
+/// a large fleet few routers may send to it, and their prompts lead elsewhere,
+/// so that the end of the limit would be noticed late.
+std::optional<std::size_t>
+find_unconfirmed_limit(entry_state const& state,
+                       eligible_servers const& eligible, time_point at)
+{
+    for (std::size_t i = 0; i < eligible.servers.size(); ++i)
+    {
+        if (decisions::needs_refresh(state.request_limits,
+                                     run_of(*eligible.servers[i]), at))
+            return i;
+    }
+    return std::nullopt;
+}
+
 /// Sets the earliest time of the next request to a cold server, so that it
 /// stays within its rate.
 void schedule_next_cold_send(entry_state& state, backend_server& server,
@@ -490,8 +506,11 @@
     auto const load = total_load(state, request.routed.service);
     auto const prefix = shared_prefix_for(state, request, load, at);
     reserve_limited_servers(state, request.routed.service, eligible, prefix);
-    auto const choice = choose_server(state, request, eligible.candidates,
-                                      mean_load(load), prefix, at);
+    auto choice = choose_server(state, request, eligible.candidates,
+                                mean_load(load), prefix, at);
+    if (auto const unconfirmed = find_unconfirmed_limit(state, eligible, at);
+        unconfirmed && request.attempt_number == 0)
+        choice = {*unconfirmed, decisions::choice_cause::overflow};
     if (!choice)
     {
         if (is_beyond_limits(state, request.routed.service, at))
--- a/tests/unit/services/entry/limit_test.cpp
+++ b/tests/unit/services/entry/limit_test.cpp
@@ -249,4 +249,36 @@
     BOOST_TEST(backend->sent.size() == sent + 16);
 }
 
+// Guards against a limit whose end is noticed late, since prompts lead
+// elsewhere: the load stays uneven for seconds.
+BOOST_AUTO_TEST_CASE(limit_that_is_not_heard_is_asked_for)
+{
+    submit_answered(1, "8");
+    add_server("s2");
+    publish_deployment();
+    decisions::shared_prefix prefix{.key = 1};
+    while (decisions::prefix_weight(prefix, name_hash("s2")) <
+           decisions::prefix_weight(prefix, name_hash("s1")))
+        ++prefix.key;
+    request_terms const terms{.prompt = {{prefix.key, 1000}, {99, 10}}};
+    auto const server_of_next = [&]
+    {
+        submit(idempotent, 1, terms);
+        return backend->sent.back().server.value;
+    };
+    BOOST_TEST(server_of_next() == "s2");
+    answer("");
+    test_kernel.advance(1s);
+    BOOST_TEST(server_of_next() == "s1");
+    answer("8");
+    BOOST_TEST(server_of_next() == "s2");
+    answer("");
+    test_kernel.advance(1s);
+    BOOST_TEST(server_of_next() == "s1");
+    answer("");
+    // The limit has ended, so that nothing has to be asked.
+    test_kernel.advance(1s);
+    BOOST_TEST(server_of_next() == "s2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
