Suspect parts of prompts until their answers are past their start

What callers saw: requests with a part of a prompt that crashes each server after the first event of its answer were passed on for as long as they came.

Cause: a router suspected the parts of a prompt only if no byte of the answer had come when the server crashed, and took 256 bytes for the proof that they are sound. A server that begins to write an answer and crashes has often sent some events, and one event can have 256 bytes.

Change: an answer shows that the parts are sound once it is whole or has gone on for a second after its first byte. Until then its parts are suspected if the server crashes, whatever bytes have come. Each attempt is judged by its own answer. A crash in the middle of an answer suspects no part, as before.

server_that_crashes_during_an_answer_suspects_no_part asked that a crash right after the first bytes suspects nothing, which is the fault itself. Its replacement, server_that_crashes_late_in_an_answer_suspects_no_part, holds the same for an answer past its start, and that an answer does not clear a part before.

Before the fix, these fail: part_that_crashes_servers_after_first_events_is_refused (no crash reported, the fourth request is sent) and server_that_crashes_late_in_an_answer_suspects_no_part.

--- a/source/decisions/crashing_parts.cpp
+++ b/source/decisions/crashing_parts.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <map>
-#include <optional>
 
 namespace bramleyarch::decisions
 {
@@ -187,6 +186,18 @@
     return is_new;
 }
 
+bool record_answer_bytes(answer_in_progress& answer,
+                         crashing_parts_options const& options, time_point at)
+{
+    if (!answer.first_byte_at)
+        answer.first_byte_at = at;
+    if (answer.is_past_start ||
+        at - *answer.first_byte_at < options.answer_start)
+        return false;
+    answer.is_past_start = true;
+    return true;
+}
+
 std::vector<part_answer>
 record_prompt_answer(crashing_parts& state,
                      std::vector<prompt_part> const& prompt, time_point at)
--- a/source/decisions/crashing_parts.hpp
+++ b/source/decisions/crashing_parts.hpp
@@ -1,15 +1,16 @@
 /// Refusal of requests whose prompt has a part that crashes servers.
 ///
-/// Such a part crashes each server that starts to answer a request with it.
-/// The requests with it differ in everything else, and sound requests share
-/// their other parts, so the parts are judged, not the requests. A part is
-/// suspected when a server crashed before it had sent any byte of an answer to
-/// a request with it, and cleared when a request with it is answered after
-/// that, by any router: routers tell each other of crashes and of the answers
-/// that clear parts. Parts that crashed the same servers can't be told apart: a
-/// request is refused if it has all of them, and one that has only some shows
-/// which are sound. What is refused is tried again one request at a time, so
-/// that a sound part is not refused for long.
+/// Such a part crashes each server that starts to answer a request with it,
+/// before or after the first bytes of the answer. The requests with it differ
+/// in everything else, and sound requests share their other parts, so the parts
+/// are judged, not the requests. A part is suspected when a server crashed at
+/// the start of an answer to a request with it. It is cleared by a later answer
+/// that is whole or goes on past its start, at any router: routers tell each
+/// other of crashes and of the answers that clear parts. Parts that crashed the
+/// same servers can't be told apart: a request is refused if it has all of
+/// them, and one that has only some shows which are sound. What is refused is
+/// tried again one request at a time, so that a sound part is not refused for
+/// long.
 #pragma once
 
 #include "common/ids.hpp"
@@ -17,6 +18,7 @@
 #include "common/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -36,6 +38,9 @@
     /// Failed trials of a part after which none follows. Each may crash a
     /// server.
     std::size_t max_failed_trials = 1;
+    /// Time from the first byte of an answer after which its server would have
+    /// crashed if a part of the prompt crashed servers. Spans several events.
+    duration answer_start = std::chrono::seconds{1};
     /// Time for which crashes and answers are kept.
     duration retention = std::chrono::minutes{10};
     /// Crashes that are kept of one part: those that lead to a refusal, and
@@ -47,7 +52,7 @@
     std::size_t max_answered = 16'384;
 };
 
-/// A server that crashed before it sent any byte of the answer to a request.
+/// A server that crashed at the start of the answer to a request, or before.
 struct prompt_crash
 {
     /// Hash of one run of the server, from its start to its crash.
@@ -68,7 +73,14 @@
 struct part_answer
 {
     std::uint64_t part = 0;
-    time_point at{}; ///< When the answer began.
+    time_point at{}; ///< When the answer was whole, or past its start.
+};
+
+/// Progress of the answer to one attempt of a request.
+struct answer_in_progress
+{
+    std::optional<time_point> first_byte_at;
+    bool is_past_start = false;
 };
 
 struct crashing_parts
@@ -94,9 +106,14 @@
 /// them.
 bool record_prompt_crash(crashing_parts& state, prompt_crash const& crash);
 
-/// Records the answer that a server began at `at` to a request of this router,
-/// which clears the parts of its prompt except the last. Returns those of them
-/// that were suspected, for the other routers.
+/// Records that bytes of an answer arrived at `at`. Returns true once, when the
+/// answer is past its start.
+bool record_answer_bytes(answer_in_progress& answer,
+                         crashing_parts_options const& options, time_point at);
+
+/// Records that the answer to a request of this router was whole, or past its
+/// start, at `at`, which clears the parts of its prompt except the last.
+/// Returns those of them that were suspected, for the other routers.
 std::vector<part_answer>
 record_prompt_answer(crashing_parts& state,
                      std::vector<prompt_part> const& prompt, time_point at);
--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -209,12 +209,12 @@
                   entry_request& request, backend_chunk chunk)
 {
     auto const size = chunk.bytes.size();
-    bool const was_proven =
-        request.attempt_bytes >= state.options.min_proof_bytes;
     request.attempt_bytes += size;
     record_rollout_first_byte(state, request, now(ctx));
-    if (!was_proven && request.attempt_bytes >= state.options.min_proof_bytes)
-        record_proof(state, request, now(ctx));
+    if (is_success(request.attempt_status) &&
+        decisions::record_answer_bytes(request.attempt_answer,
+                                       state.crashing_parts.options, now(ctx)))
+        clear_prompt_suspects(state, request, now(ctx));
     if (request.stage == request_stage::awaiting_answer &&
         !request.routed.terms.streaming)
     {
--- a/source/services/entry/endings.cpp
+++ b/source/services/entry/endings.cpp
@@ -75,8 +75,9 @@
              .max_tokens = terms.answer_tokens},
             at);
     clear_crash_suspect(state, request, at);
-    if (request.attempt_bytes < state.options.min_proof_bytes)
-        record_proof(state, request, at);
+    if (is_success(request.attempt_status) &&
+        !request.attempt_answer.is_past_start)
+        clear_prompt_suspects(state, request, at);
     request.reply(answer_end{.attempt = answer_id(request),
                              .chunks = request.forwarded_chunks,
                              .bytes = request.forwarded_bytes});
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -291,10 +291,10 @@
 /// discards those of servers that are gone.
 void confirm_crashes_of_ended_runs(entry_state& state, entry_context& ctx);
 
-/// Records that a server began to answer the request, which clears the parts of
-/// its prompt, and reports this to routers that may suspect them.
-void record_proof(entry_state& state, entry_request const& request,
-                  time_point at);
+/// Clears the parts of the prompt of a request whose answer is whole or past
+/// its start, and reports this to routers that may suspect them.
+void clear_prompt_suspects(entry_state& state, entry_request const& request,
+                           time_point at);
 
 /// Ends the requests in flight that are refused because of a part of their
 /// prompt, unless their answer has begun.
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -95,9 +95,6 @@
     /// was sent on it may have closed it before the request arrived. Covers
     /// the way to the server and back, and a loop that is busy.
     duration max_stale_close_delay = std::chrono::milliseconds{50};
-    /// Bytes of an answer after which the parts of its prompt are proven not to
-    /// crash servers; several events of a stream.
-    std::uint64_t min_proof_bytes = 256;
     /// Interval between reports of local loads to the other routers.
     duration report_interval = std::chrono::milliseconds{250};
     decisions::remote_loads_options remote_loads;
@@ -179,6 +176,7 @@
     std::string forwarded_type;
     int attempt_status = 0;          ///< Of the current attempt's answer.
     std::uint64_t attempt_bytes = 0; ///< Of the current attempt's answer.
+    decisions::answer_in_progress attempt_answer; ///< If its status is 2xx.
     std::uint64_t forwarded_chunks = 0;
     std::uint64_t forwarded_bytes = 0;
     /// The next attempt goes to the new version of a rollout.
@@ -199,7 +197,7 @@
     std::uint64_t run = 0; ///< Hash of the server's run.
     request_id request;
     std::uint64_t fingerprint = 0;
-    /// Empty if the server had sent bytes of an answer.
+    /// Empty if the answer was past its start.
     std::vector<prompt_part> prompt;
     time_point at{};
 };
--- a/source/services/entry/sending.cpp
+++ b/source/services/entry/sending.cpp
@@ -376,6 +376,7 @@
     request.buffered_body.clear();
     request.attempt_status = 0;
     request.attempt_bytes = 0;
+    request.attempt_answer = {};
     if (request.stage == request_stage::awaiting_answer)
         reset_answer(request);
     decisions::begin_continuation(request.cursor);
--- a/source/services/entry/suspects.cpp
+++ b/source/services/entry/suspects.cpp
@@ -99,8 +99,9 @@
          .run = request.server_run,
          .request = request.routed.id,
          .fingerprint = request_fingerprint(request.routed),
-         .prompt = request.attempt_bytes == 0 ? request.routed.terms.prompt
-                                              : std::vector<prompt_part>{},
+         .prompt = request.attempt_answer.is_past_start
+                       ? std::vector<prompt_part>{}
+                       : request.routed.terms.prompt,
          .at = at});
     send_probe(state, server);
 }
@@ -143,11 +144,9 @@
     }
 }
 
-void record_proof(entry_state& state, entry_request const& request,
-                  time_point at)
+void clear_prompt_suspects(entry_state& state, entry_request const& request,
+                           time_point at)
 {
-    if (!is_success(request.attempt_status))
-        return;
     for (auto const& answer : decisions::record_prompt_answer(
              state.crashing_parts, request.routed.terms.prompt, at))
         send(state.peers_service, gossip_part_answer{answer});
--- a/tests/unit/decisions/crashing_parts_test.cpp
+++ b/tests/unit/decisions/crashing_parts_test.cpp
@@ -177,6 +177,21 @@
     BOOST_TEST(!should_refuse(states[0], crashing));
 }
 
+// Guards against a part that counts as sound because a server sent some events
+// before it crashed, and against one that never does as its answers are long.
+BOOST_AUTO_TEST_CASE(answer_shows_that_parts_are_sound_once_past_its_start)
+{
+    crashing_parts_options const options;
+    answer_in_progress answer;
+    BOOST_TEST(!record_answer_bytes(answer, options, begin));
+    BOOST_TEST(!record_answer_bytes(answer, options, begin + 999ms));
+    BOOST_TEST(!answer.is_past_start);
+    BOOST_TEST(record_answer_bytes(answer, options, begin + 1s));
+    BOOST_TEST(answer.is_past_start);
+    BOOST_TEST(!record_answer_bytes(answer, options, begin + 2s));
+    BOOST_TEST(answer.is_past_start);
+}
+
 BOOST_AUTO_TEST_CASE(answer_clears_a_part_and_expires)
 {
     crashing_parts state;
--- a/tests/unit/services/entry/crash_test.cpp
+++ b/tests/unit/services/entry/crash_test.cpp
@@ -22,6 +22,36 @@
         test_kernel.run_until_idle();
     }
 
+    /// Lets the server of the last attempt send the head and the first event of
+    /// a stream.
+    void begin_last_answer()
+    {
+        auto const id = backend->sent.back().attempt;
+        deliver(backend_send_started{id});
+        deliver(backend_head{id, 200, {{"content-type", "text/event-stream"}}});
+        last_event = 0;
+        add_event_to_last_answer();
+    }
+
+    void add_event_to_last_answer()
+    {
+        deliver(backend_chunk{backend->sent.back().attempt,
+                              "id: " + std::to_string(++last_event) +
+                                  "\ndata: " + std::string(300, 'x') + "\n\n"});
+    }
+
+    /// Lets the server of the last attempt crash in the middle of its answer.
+    void break_answer_by_crash()
+    {
+        auto const& last = backend->sent.back();
+        auto const server = last.server;
+        deliver(backend_failed{.attempt = last.attempt,
+                               .cause = {error_kind::server_closed, "reset"},
+                               .sent = true,
+                               .progress = answer_progress::in_body});
+        deliver(server_probed{.server = server, .reachable = false});
+    }
+
     /// Delivers another router's report of a crash, of part 6.
     void prompt_crash_of_part_6(std::uint64_t server = 8)
     {
@@ -30,6 +60,8 @@
                                                 .parts = {6}}});
         test_kernel.run_until_idle();
     }
+
+    int last_event = 0; ///< Id of the last event that was delivered.
 };
 
 } // namespace
@@ -109,23 +141,81 @@
     BOOST_TEST(last_caller().error.has_value());
 }
 
-BOOST_AUTO_TEST_CASE(server_that_crashes_during_an_answer_suspects_no_part)
+// Guards against a prompt part that crashes servers after their first events
+// and is never refused: a part was suspected only if no byte had come, and a
+// few events cleared it.
+BOOST_AUTO_TEST_CASE(part_that_crashes_servers_after_first_events_is_refused)
+{
+    request_terms const crashing{.streaming = true,
+                                 .prompt = {{5, 900}, {6, 300}, {7, 20}}};
+    request_terms const sound{.streaming = true, .prompt = {{5, 900}, {8, 20}}};
+    distinct_targets = true;
+    for (std::uint64_t born = 1; born <= 3; ++born)
+    {
+        for (auto& [id, server] : deployment.servers)
+            server.born = born;
+        publish_deployment();
+        submit(non_idempotent, 1, crashing);
+        BOOST_TEST(backend->sent.size() == born);
+        begin_last_answer();
+        for (int event = 0; event < 3; ++event)
+        {
+            test_kernel.advance(200ms);
+            add_event_to_last_answer();
+        }
+        break_answer_by_crash();
+        test_kernel.advance(1s);
+    }
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).size() >= 3U);
+
+    submit(non_idempotent, 1, crashing);
+    BOOST_TEST(backend->sent.size() == 3U);
+    BOOST_REQUIRE(last_caller().error);
+    BOOST_TEST((last_caller().error->cause.kind == error_kind::quarantined));
+    BOOST_TEST((last_caller().error->known == outcome::not_run));
+
+    submit(non_idempotent, 1, sound);
+    BOOST_TEST(backend->sent.size() == 4U);
+}
+
+// Guards against sound parts that are blamed for the crash of a server in the
+// middle of their answers.
+BOOST_AUTO_TEST_CASE(server_that_crashes_late_in_an_answer_suspects_no_part)
 {
+    prompt_crash_of_part_6();
     submit(non_idempotent, 1,
            {.streaming = true, .prompt = {{6, 300}, {7, 20}}});
-    auto const id = backend->sent.back().attempt;
-    deliver(backend_send_started{id});
-    deliver(backend_head{id, 200, {}});
-    deliver(backend_chunk{id, "data"});
-    deliver(backend_failed{.attempt = id,
-                           .cause = {error_kind::server_closed, "reset"},
-                           .sent = true});
-    deliver(server_probed{.server = backend->sent.back().server,
-                          .reachable = false});
+    begin_last_answer();
+    test_kernel.advance(999ms);
+    add_event_to_last_answer();
+    BOOST_TEST(received<gossip_part_answer>(*peers).empty());
+    test_kernel.advance(1ms);
+    add_event_to_last_answer();
+    BOOST_TEST(received<gossip_part_answer>(*peers).size() == 1U);
+    peers->clear();
+    break_answer_by_crash();
     BOOST_TEST(received<gossip_prompt_crash>(*peers).empty());
     BOOST_TEST(received<gossip_request_crash>(*peers).size() == 1U);
 }
 
+// Guards against a part that is taken for sound since the attempt before, at
+// another server, had an answer that went on.
+BOOST_AUTO_TEST_CASE(
+    each_attempt_shows_by_its_own_answer_whether_parts_are_sound)
+{
+    submit(idempotent, 2,
+           {.streaming = true, .resumable = true, .prompt = {{6, 9}, {7, 9}}});
+    begin_last_answer();
+    test_kernel.advance(1s);
+    add_event_to_last_answer();
+    break_answer_by_crash();
+    BOOST_REQUIRE(backend->sent.size() == 2U);
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).empty());
+    test_kernel.advance(100ms);
+    break_answer_by_crash();
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).size() == 1U);
+}
+
 // A server's own error is no proof: it may be sent before the prompt is read.
 BOOST_AUTO_TEST_CASE(error_of_a_server_clears_no_part)
 {
