Take a stream that ends inside an event for a possible crash

Cause: the end of the connection ends such an answer. A stream that ends inside an event counts as broken off, but as a breach of the protocol by a server that runs on, and only a closed connection was followed by a probe of the server.

Change: the failure is that of a connection which its server closed. A probe then tells a crash from a server that runs on, as for other broken answers.

Before the fix, stream_that_a_crash_ends_inside_an_event_suspects_its_parts fails: no crash is reported.

--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -3,6 +3,7 @@
 #include "common/request_id_text.hpp"
 
 #include <fmt/format.h>
+#include <optional>
 #include <utility>
 
 namespace bramleyarch::services
@@ -310,20 +311,21 @@
         confirm_crashes(state, ctx, server_of_attempt);
 }
 
-/// Returns why the end of a stream does not make it whole, or an empty text. A
+/// Returns why the end of a stream does not make it whole, if it doesn't. A
 /// stream whose end is the end of its connection can end anywhere.
-std::string_view incomplete_stream(entry_request const& request)
+std::optional<error> incomplete_stream(entry_request const& request)
 {
     if (!request.routed.terms.streaming || !is_success(request.attempt_status))
-        return {};
+        return std::nullopt;
     if (decisions::is_inside_event(request.cursor))
-        return "the stream ended in an event";
+        return error{error_kind::server_closed, "the stream ended in an event"};
     bool const resumed_by_caller = request.routed.resume_offset > 0;
     bool const has_events = request.stage == request_stage::forwarding_answer ||
                             !request.buffered_body.empty();
     if (!has_events && !resumed_by_caller)
-        return "the stream ended without an event";
-    return {};
+        return error{error_kind::server_protocol,
+                     "the stream ended without an event"};
+    return std::nullopt;
 }
 
 /// Completes the request, unless the answer is a stream that was broken off.
@@ -336,12 +338,11 @@
         reject_continuation(state, ctx, request, "no_event");
         return;
     }
-    if (auto const reason = incomplete_stream(request); !reason.empty())
+    if (auto cause = incomplete_stream(request))
     {
         handle_event(state, ctx, request,
                      backend_failed{.attempt = end.attempt,
-                                    .cause = {error_kind::server_protocol,
-                                              std::string{reason}},
+                                    .cause = *std::move(cause),
                                     .sent = true,
                                     .progress = answer_progress::in_body});
         return;
--- a/tests/unit/services/entry/crash_test.cpp
+++ b/tests/unit/services/entry/crash_test.cpp
@@ -178,6 +178,23 @@
     BOOST_TEST(backend->sent.size() == 4U);
 }
 
+// Guards against a part whose crashes are not seen since its streams have
+// neither a length nor chunks: what ends inside an event has been broken off.
+BOOST_AUTO_TEST_CASE(
+    stream_that_a_crash_ends_inside_an_event_suspects_its_parts)
+{
+    submit(non_idempotent, 1,
+           {.streaming = true, .prompt = {{6, 300}, {7, 20}}});
+    begin_last_answer();
+    auto const last = backend->sent.back();
+    deliver(backend_chunk{last.attempt, "id: 2\nda"});
+    deliver(backend_end{last.attempt});
+    BOOST_REQUIRE(last_caller().error);
+    deliver(server_probed{.server = last.server, .reachable = false});
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).size() == 1U);
+    BOOST_TEST(received<gossip_request_crash>(*peers).size() == 1U);
+}
+
 // Guards against sound parts that are blamed for the crash of a server in the
 // middle of their answers.
 BOOST_AUTO_TEST_CASE(server_that_crashes_late_in_an_answer_suspects_no_part)
