Probe a server again for connections that ended after its probe was sent

What callers saw: nothing yet; read in the code and shown by a test. A crash can go unseen, so that the request or part that causes it gets one more server.

Cause: a router probes a server once at a time, and discards all its possible crashes when the probe has reached it. The probe may have been sent, and the connection opened, before the server crashed.

Change: the probe refutes only what came before it. The server is probed again for the rest.

Before the fix, probe_that_was_sent_before_a_crash_does_not_refute_it fails: no second probe is sent.

--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -216,7 +216,7 @@
                             entry_request& request);
 
 /// Probes the server, unless a probe is in flight.
-void send_probe(entry_state& state, backend_server& server);
+void send_probe(entry_state& state, backend_server& server, time_point at);
 
 /// Probes the ejected servers whose next probe is due, so that no request has
 /// to be risked to find out whether they are reachable.
@@ -283,9 +283,9 @@
 void confirm_crashes(entry_state& state, entry_context& ctx,
                      server_id const& server);
 
-/// Discards the possible crashes of a server that runs on. Returns whether
-/// there were any.
-bool discard_crashes(entry_state& state, server_id const& server);
+/// Discards the possible crashes of a server before the probe that has reached
+/// it. Probes it again if there are later ones. Returns whether there were any.
+bool discard_crashes(entry_state& state, backend_server& server, time_point at);
 
 /// Confirms the possible crashes of servers that have started again, and
 /// discards those of servers that are gone.
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -122,6 +122,7 @@
     /// Time of the last byte of any answer or of the last successful probe.
     time_point last_response_at{};
     bool probe_in_flight = false;
+    time_point probe_sent_at{}; ///< Of the last probe.
     /// Another server answers at this server's address.
     bool misdirected = false;
 };
--- a/source/services/entry/silence.cpp
+++ b/source/services/entry/silence.cpp
@@ -66,10 +66,11 @@
 
 } // namespace
 
-void send_probe(entry_state& state, backend_server& server)
+void send_probe(entry_state& state, backend_server& server, time_point at)
 {
     if (std::exchange(server.probe_in_flight, true))
         return;
+    server.probe_sent_at = at;
     send(state.backend,
          probe_server{.server = server.listed.id,
                       .address = server.listed.address,
@@ -93,7 +94,7 @@
     }
     auto* const server = find_current_server(state, request);
     if (server && server->last_response_at < request.attempt_started_at)
-        send_probe(state, *server);
+        send_probe(state, *server, at);
     request.awaiting_first_byte_timeout = true;
     auto const due = request.last_byte_at + first_byte_timeout(state, request);
     request.silence_timer = schedule(ctx, std::max(due - at, duration::zero()),
@@ -105,7 +106,7 @@
     for (auto& [id, server] : state.servers)
     {
         if (server.ejected && at >= server.next_probe_at)
-            send_probe(state, server);
+            send_probe(state, server, at);
     }
 }
 
@@ -123,7 +124,7 @@
         auto* const server = find_current_server(state, request);
         if (server && at - request.last_byte_at > max_gap &&
             at - server->last_response_at > max_gap)
-            send_probe(state, *server);
+            send_probe(state, *server, at);
     }
 }
 
@@ -153,8 +154,7 @@
         server.last_response_at = at;
         // A server that broke a connection is left out for its time, although
         // it runs.
-        if (!discard_crashes(state, probed.server) ||
-            at >= server.next_probe_at)
+        if (!discard_crashes(state, server, at) || at >= server.next_probe_at)
             server.ejected = false;
         return;
     }
--- a/source/services/entry/suspects.cpp
+++ b/source/services/entry/suspects.cpp
@@ -103,7 +103,7 @@
                        ? std::vector<prompt_part>{}
                        : request.routed.terms.prompt,
          .at = at});
-    send_probe(state, server);
+    send_probe(state, server, at);
 }
 
 void confirm_crashes(entry_state& state, entry_context& ctx,
@@ -124,11 +124,16 @@
     end_refused_requests(state, ctx);
 }
 
-bool discard_crashes(entry_state& state, server_id const& server)
+bool discard_crashes(entry_state& state, backend_server& server, time_point at)
 {
-    return std::erase_if(state.possible_crashes,
-                         [&](possible_crash const& crash)
-                         { return crash.server == server; }) > 0;
+    auto const is_of_server = [&](possible_crash const& crash)
+    { return crash.server == server.listed.id; };
+    auto const is_refuted = [&](possible_crash const& crash)
+    { return is_of_server(crash) && crash.at <= server.probe_sent_at; };
+    auto const refuted = std::erase_if(state.possible_crashes, is_refuted);
+    if (std::ranges::any_of(state.possible_crashes, is_of_server))
+        send_probe(state, server, at);
+    return refuted > 0;
 }
 
 void confirm_crashes_of_ended_runs(entry_state& state, entry_context& ctx)
@@ -138,7 +143,9 @@
     {
         auto const server = state.servers.find(crash.server);
         if (server == state.servers.end())
-            discard_crashes(state, crash.server);
+            std::erase_if(state.possible_crashes,
+                          [&](possible_crash const& other)
+                          { return other.server == crash.server; });
         else if (run_of(server->second) != crash.run)
             confirm_crashes(state, ctx, crash.server);
     }
--- a/tests/unit/services/entry/crash_test.cpp
+++ b/tests/unit/services/entry/crash_test.cpp
@@ -195,6 +195,34 @@
     BOOST_TEST(received<gossip_request_crash>(*peers).size() == 1U);
 }
 
+// Guards against a crash that is discarded by a probe which reached the server
+// before it.
+BOOST_AUTO_TEST_CASE(probe_that_was_sent_before_a_crash_does_not_refute_it)
+{
+    request_terms const terms{.streaming = true, .prompt = {{6, 300}, {7, 20}}};
+    distinct_targets = true;
+    deployment.servers.erase({"s2"});
+    publish_deployment();
+    submit(non_idempotent, 1, terms);
+    auto const first = backend->sent.back();
+    submit(non_idempotent, 1, terms);
+    auto const second = backend->sent.back();
+    for (auto const& attempt : {first, second})
+    {
+        deliver(backend_send_started{attempt.attempt});
+        deliver(backend_failed{.attempt = attempt.attempt,
+                               .cause = {error_kind::server_closed, "reset"},
+                               .sent = true});
+        test_kernel.advance(5ms);
+    }
+    BOOST_REQUIRE(backend->probed.size() == 1U);
+    deliver(server_probed{.server = first.server, .reachable = true});
+    BOOST_REQUIRE(backend->probed.size() == 2U);
+    deliver(server_probed{.server = first.server, .reachable = false});
+    BOOST_TEST(received<gossip_request_crash>(*peers).size() == 1U);
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).size() == 1U);
+}
+
 // Guards against sound parts that are blamed for the crash of a server in the
 // middle of their answers.
 BOOST_AUTO_TEST_CASE(server_that_crashes_late_in_an_answer_suspects_no_part)
