Probe the server of an answer that only the close of its connection has ended

Cause: such an answer looks whole wherever a crash cuts it, and a whole answer clears the request and the parts of its prompt.

Change: the end of an answer says whether only the close of the connection has ended it. Then nothing is cleared before a probe has reached the server; if none does, the request and its parts are suspected. Callers still get the answer at once. Servers that leave are not probed. The log line request_answered names such ends.

With the end passed on but not used, these fail: answer_that_a_crash_ends_after_an_event_suspects_its_parts and answer_that_ends_with_its_connection_clears_its_parts.

--- a/source/http/client.hpp
+++ b/source/http/client.hpp
@@ -64,6 +64,9 @@
 struct response_end
 {
     std::uint64_t id = 0;
+    /// Only the close of the connection has ended the body, so a server that
+    /// crashed may have cut it.
+    bool by_close = false;
 };
 
 struct response_failed
--- a/source/http/client_io.cpp
+++ b/source/http/client_io.cpp
@@ -125,11 +125,11 @@
 }
 
 /// The answer is whole: keeps the connection for the next request if it can.
-void finish(client& c, server_connection& s)
+void finish(client& c, server_connection& s, bool by_close = false)
 {
     auto const id = s.request.id;
     c.serials.erase(id);
-    report(c, response_end{id});
+    report(c, response_end{.id = id, .by_close = by_close});
     // The request said `connection: close` if it may not reuse one, so the
     // server closes, whatever its answer says.
     bool const reusable = s.request.may_reuse && s.parser.keep_alive &&
@@ -228,7 +228,7 @@
         parse_end(s.parser);
         if (s.parser.state == parse_state::complete && !is_cut)
         {
-            finish(c, s);
+            finish(c, s, true);
             return;
         }
     }
--- a/source/services/backend/backend_service.cpp
+++ b/source/services/backend/backend_service.cpp
@@ -76,7 +76,8 @@
 {
     auto const attempt = state.attempts.at(event.id).attempt;
     remove_attempt(state, event.id);
-    state.send_event(backend_end{attempt});
+    state.send_event(
+        backend_end{.attempt = attempt, .by_close = event.by_close});
 }
 
 void handle_event(backend_state& state, http::response_failed event)
--- a/source/services/entry/answers.cpp
+++ b/source/services/entry/answers.cpp
@@ -215,7 +215,7 @@
     if (is_success(request.attempt_status) &&
         decisions::record_answer_bytes(request.attempt_answer,
                                        state.crashing_parts.options, now(ctx)))
-        clear_prompt_suspects(state, request, now(ctx));
+        clear_prompt_suspects(state, request.routed.terms.prompt, now(ctx));
     if (request.stage == request_stage::awaiting_answer &&
         !request.routed.terms.streaming)
     {
@@ -285,7 +285,8 @@
     {
         record_server_failure(state, *server, at, to_name(failed.cause.kind));
         if (failed.sent && failed.cause.kind == error_kind::server_closed)
-            record_possible_crash(state, request, *server, at);
+            record_possible_crash(state, request, *server,
+                                  /*is_answered=*/false, at);
     }
     log(state.telemetry_sink, log_severity::info, "attempt_failed",
         fmt::format("request={} attempt={} server={} reason={} detail=\"{}\" "
@@ -353,7 +354,7 @@
         forward_bytes(request, std::exchange(request.buffered_body, {}));
     if (!request.cursor.partial.empty())
         forward_bytes(request, std::exchange(request.cursor.partial, {}));
-    complete_request(state, ctx, request);
+    complete_request(state, ctx, request, end.by_close);
 }
 
 /// Does nothing: probe results belong to no attempt and are handled in
--- a/source/services/entry/endings.cpp
+++ b/source/services/entry/endings.cpp
@@ -50,7 +50,7 @@
 }
 
 void complete_request(entry_state& state, entry_context& ctx,
-                      entry_request& request)
+                      entry_request& request, bool by_close)
 {
     auto const at = now(ctx);
     auto const& terms = request.routed.terms;
@@ -60,13 +60,13 @@
            at - terms.received);
     log(state.telemetry_sink, log_severity::info, "request_answered",
         fmt::format("request={} server={} attempts={} chunks={} bytes={} "
-                    "max_tokens={} first_byte_ms={} took_ms={} "
+                    "max_tokens={} first_byte_ms={} took_ms={} by_close={} "
                     "outcome=answered",
                     to_text(request.routed.id), request.current_server.value,
                     request.sent_attempts, request.forwarded_chunks,
                     request.forwarded_bytes, terms.answer_tokens,
                     to_ms(request.first_byte_at - terms.received),
-                    to_ms(at - terms.received)));
+                    to_ms(at - terms.received), by_close));
     if (is_success(request.attempt_status))
         decisions::record_answer_time(
             state.answer_times, terms.route,
@@ -74,10 +74,7 @@
              .first_byte = request.first_byte_at - terms.received,
              .max_tokens = terms.answer_tokens},
             at);
-    clear_crash_suspect(state, request, at);
-    if (is_success(request.attempt_status) &&
-        !request.attempt_answer.is_past_start)
-        clear_prompt_suspects(state, request, at);
+    record_whole_answer(state, request, by_close, at);
     request.reply(answer_end{.attempt = answer_id(request),
                              .chunks = request.forwarded_chunks,
                              .bytes = request.forwarded_bytes});
--- a/source/services/entry/entry_parts.hpp
+++ b/source/services/entry/entry_parts.hpp
@@ -273,10 +273,12 @@
 /// that finds out whether the parts of its prompt are sound.
 bool start_trial(entry_state& state, entry_request& request, time_point at);
 
-/// Records that the server may have crashed while the request was in flight,
-/// and probes it to find out.
+/// Records that the server may have crashed while it answered the request, and
+/// probes it to find out. `is_answered` says that the answer is whole if it has
+/// not.
 void record_possible_crash(entry_state& state, entry_request const& request,
-                           backend_server& server, time_point at);
+                           backend_server& server, bool is_answered,
+                           time_point at);
 
 /// Records that the possible crashes of the server were crashes, reports them
 /// to the other routers, and ends the requests that are refused now.
@@ -284,7 +286,8 @@
                      server_id const& server);
 
 /// Discards the possible crashes of a server before the probe that has reached
-/// it. Probes it again if there are later ones. Returns whether there were any.
+/// it, and clears the requests that it has answered. Probes it again if there
+/// are later ones. Returns whether any of the answers was broken.
 bool discard_crashes(entry_state& state, backend_server& server, time_point at);
 
 /// Confirms the possible crashes of servers that have started again, and
@@ -293,18 +296,20 @@
 
 /// Clears the parts of the prompt of a request whose answer is whole or past
 /// its start, and reports this to routers that may suspect them.
-void clear_prompt_suspects(entry_state& state, entry_request const& request,
+void clear_prompt_suspects(entry_state& state,
+                           std::vector<prompt_part> const& prompt,
                            time_point at);
 
+/// Clears the request and the parts of its prompt, whose answer is whole. If
+/// only the close of the connection has ended it, the server is probed first:
+/// it may have crashed.
+void record_whole_answer(entry_state& state, entry_request const& request,
+                         bool by_close, time_point at);
+
 /// Ends the requests in flight that are refused because of a part of their
 /// prompt, unless their answer has begun.
 void end_refused_requests(entry_state& state, entry_context& ctx);
 
-/// Clears the suspicion of a request that completed, and reports this to
-/// routers that may suspect it.
-void clear_crash_suspect(entry_state& state, entry_request const& request,
-                         time_point at);
-
 /// Retries the request at another server after a failed attempt, or fails it
 /// with `cause` if it must not or cannot be retried. `request` may have been
 /// removed on return.
@@ -315,9 +320,10 @@
 /// nothing, or whole events of a stream that may be resumed.
 bool can_go_on_elsewhere(entry_request const& request);
 
-/// Ends a request whose answer is complete, and removes it.
+/// Ends a request whose answer is complete, and removes it. `by_close` says
+/// that only the close of the connection has ended the answer.
 void complete_request(entry_state& state, entry_context& ctx,
-                      entry_request& request);
+                      entry_request& request, bool by_close);
 
 /// Ends the request without a complete answer and removes it.
 void fail_request(entry_state& state, entry_context& ctx,
--- a/source/services/entry/entry_service.hpp
+++ b/source/services/entry/entry_service.hpp
@@ -190,8 +190,9 @@
     kernel::timer_id silence_timer = 0;
 };
 
-/// A connection that a server closed after a request was sent on it. It shows a
-/// crash only if the server's run has ended.
+/// A connection that a server closed after a request was sent on it, before the
+/// end of the answer or as its end. It shows a crash only if the server's run
+/// has ended.
 struct possible_crash
 {
     server_id server;
@@ -200,6 +201,8 @@
     std::uint64_t fingerprint = 0;
     /// Empty if the answer was past its start.
     std::vector<prompt_part> prompt;
+    int status = 0;           ///< Of the answer, 0: none has begun.
+    bool is_answered = false; ///< The answer is whole if the server runs on.
     time_point at{};
 };
 
--- a/source/services/entry/suspects.cpp
+++ b/source/services/entry/suspects.cpp
@@ -53,6 +53,26 @@
     }
 }
 
+/// Clears the suspicion of a request that completed, and reports this to
+/// routers that may suspect it.
+void clear_request_suspect(entry_state& state, std::uint64_t fingerprint,
+                           time_point at)
+{
+    if (state.crashes.requests.empty())
+        return;
+    decisions::request_answer const answer{.request = fingerprint, .at = at};
+    if (decisions::record_answer(state.crashes, answer))
+        send(state.peers_service, gossip_request_answer{answer});
+}
+
+/// Clears what an answer of a server that runs on shows to be sound.
+void clear_suspects(entry_state& state, possible_crash const& answered)
+{
+    clear_request_suspect(state, answered.fingerprint, answered.at);
+    if (is_success(answered.status))
+        clear_prompt_suspects(state, answered.prompt, answered.at);
+}
+
 } // namespace
 
 std::uint64_t request_fingerprint(routed_request const& request)
@@ -89,7 +109,8 @@
 }
 
 void record_possible_crash(entry_state& state, entry_request const& request,
-                           backend_server& server, time_point at)
+                           backend_server& server, bool is_answered,
+                           time_point at)
 {
     constexpr std::size_t max_possible_crashes = 256;
     if (state.possible_crashes.size() >= max_possible_crashes)
@@ -102,6 +123,8 @@
          .prompt = request.attempt_answer.is_past_start
                        ? std::vector<prompt_part>{}
                        : request.routed.terms.prompt,
+         .status = request.attempt_status,
+         .is_answered = is_answered,
          .at = at});
     send_probe(state, server, at);
 }
@@ -130,10 +153,20 @@
     { return crash.server == server.listed.id; };
     auto const is_refuted = [&](possible_crash const& crash)
     { return is_of_server(crash) && crash.at <= server.probe_sent_at; };
-    auto const refuted = std::erase_if(state.possible_crashes, is_refuted);
+    bool has_broken_answer = false;
+    for (auto const& crash : state.possible_crashes)
+    {
+        if (!is_refuted(crash))
+            continue;
+        if (crash.is_answered)
+            clear_suspects(state, crash);
+        else
+            has_broken_answer = true;
+    }
+    std::erase_if(state.possible_crashes, is_refuted);
     if (std::ranges::any_of(state.possible_crashes, is_of_server))
         send_probe(state, server, at);
-    return refuted > 0;
+    return has_broken_answer;
 }
 
 void confirm_crashes_of_ended_runs(entry_state& state, entry_context& ctx)
@@ -151,23 +184,31 @@
     }
 }
 
-void clear_prompt_suspects(entry_state& state, entry_request const& request,
+void clear_prompt_suspects(entry_state& state,
+                           std::vector<prompt_part> const& prompt,
                            time_point at)
 {
-    for (auto const& answer : decisions::record_prompt_answer(
-             state.crashing_parts, request.routed.terms.prompt, at))
+    for (auto const& answer :
+         decisions::record_prompt_answer(state.crashing_parts, prompt, at))
         send(state.peers_service, gossip_part_answer{answer});
 }
 
-void clear_crash_suspect(entry_state& state, entry_request const& request,
-                         time_point at)
+void record_whole_answer(entry_state& state, entry_request const& request,
+                         bool by_close, time_point at)
 {
-    if (state.crashes.requests.empty())
+    if (by_close)
+    {
+        // A server that leaves may be gone when the probe arrives.
+        auto* const server = find_current_server(state, request);
+        if (server && is_in_use(state, server->listed.service, *server))
+            record_possible_crash(state, request, *server,
+                                  /*is_answered=*/true, at);
         return;
-    decisions::request_answer const answer{
-        .request = request_fingerprint(request.routed), .at = at};
-    if (decisions::record_answer(state.crashes, answer))
-        send(state.peers_service, gossip_request_answer{answer});
+    }
+    clear_request_suspect(state, request_fingerprint(request.routed), at);
+    if (is_success(request.attempt_status) &&
+        !request.attempt_answer.is_past_start)
+        clear_prompt_suspects(state, request.routed.terms.prompt, at);
 }
 
 void refuse_crashing_request(entry_state& state, entry_context& ctx,
--- a/source/services/messages/owner.hpp
+++ b/source/services/messages/owner.hpp
@@ -107,6 +107,9 @@
 struct backend_end
 {
     attempt_id attempt;
+    /// Only the close of the connection has ended it, so a server that crashed
+    /// may have cut it.
+    bool by_close = false;
 };
 
 /// The attempt ended without a complete answer.
--- a/tests/unit/http/client_answer_test.cpp
+++ b/tests/unit/http/client_answer_test.cpp
@@ -111,6 +111,26 @@
     finish();
     BOOST_TEST(seen.ends == 1U);
     BOOST_TEST(seen.body == "all");
+    BOOST_TEST(seen.ended_by_close);
+}
+
+// Guards against a probe after each answer of a server that closes its
+// connections: the length or the last chunk has ended these.
+BOOST_AUTO_TEST_CASE(answer_with_an_end_of_its_own_does_not_end_by_close)
+{
+    for (std::string const answer :
+         {"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: "
+          "3\r\n\r\nall",
+          "HTTP/1.1 200 OK\r\nconnection: close\r\n"
+          "transfer-encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n\r\n"})
+    {
+        seen = {};
+        testing::raw_server server{{.parts = {answer}}};
+        http::open(*client, request_to(server.port()));
+        finish();
+        BOOST_TEST(seen.ends == 1U, answer);
+        BOOST_TEST(!seen.ended_by_close, answer);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(answers_without_body_are_whole)
--- a/tests/unit/http/client_fixture.hpp
+++ b/tests/unit/http/client_fixture.hpp
@@ -28,6 +28,7 @@
     std::string body;
     std::size_t body_events = 0;
     std::size_t ends = 0;
+    bool ended_by_close = false;
     std::vector<http::response_failed> failures;
 
     [[nodiscard]] bool over() const
@@ -47,8 +48,11 @@
         into.body += e->bytes;
         ++into.body_events;
     }
-    if (std::holds_alternative<http::response_end>(event))
+    if (auto* e = std::get_if<http::response_end>(&event))
+    {
         ++into.ends;
+        into.ended_by_close = e->by_close;
+    }
     if (auto* e = std::get_if<http::response_failed>(&event))
         into.failures.push_back(std::move(*e));
 }
--- a/tests/unit/services/backend/backend_test.cpp
+++ b/tests/unit/services/backend/backend_test.cpp
@@ -133,12 +133,20 @@
 
 BOOST_FIXTURE_TEST_SUITE(backend, fixture)
 
+BOOST_AUTO_TEST_CASE(end_of_an_answer_tells_whether_only_the_close_ended_it)
+{
+    raw_server unframed{{.parts = {"HTTP/1.1 200 OK\r\n\r\n", "booked"}}};
+    send(backend, make_dispatch(unframed.port()));
+    BOOST_TEST(await<backend_end>().by_close);
+}
+
 BOOST_AUTO_TEST_CASE(attempt_is_sent_and_answered)
 {
     raw_server server{
         {.parts = {bramleyarch::testing::plain_answer("booked")}}};
     send(backend, make_dispatch(server.port()));
     BOOST_TEST((await<backend_end>().attempt == attempt));
+    BOOST_TEST(!await<backend_end>().by_close);
     BOOST_TEST((await<backend_send_started>().attempt == attempt));
     BOOST_TEST(await<backend_head>().status == 200);
     BOOST_TEST(body() == "booked");
--- a/tests/unit/services/entry/crash_test.cpp
+++ b/tests/unit/services/entry/crash_test.cpp
@@ -195,6 +195,60 @@
     BOOST_TEST(received<gossip_request_crash>(*peers).size() == 1U);
 }
 
+// Guards against a part that counts as sound by answers which its crashes end:
+// without a length and chunks, an answer looks whole after any event.
+BOOST_AUTO_TEST_CASE(answer_that_a_crash_ends_after_an_event_suspects_its_parts)
+{
+    request_terms const terms{.streaming = true, .prompt = {{6, 300}, {7, 20}}};
+    prompt_crash_of_part_6();
+    peers->clear();
+    submit(non_idempotent, 1, terms);
+    begin_last_answer();
+    auto const last = backend->sent.back();
+    deliver(backend_end{.attempt = last.attempt, .by_close = true});
+    BOOST_TEST(last_caller().ended);
+    BOOST_TEST(received<gossip_part_answer>(*peers).empty());
+    deliver(server_probed{.server = last.server, .reachable = false});
+    BOOST_TEST(received<gossip_part_answer>(*peers).empty());
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).size() == 1U);
+    BOOST_TEST(received<gossip_request_crash>(*peers).size() == 1U);
+}
+
+// Guards against sound parts that are never cleared as their answers end with
+// the connection, and against a server that is left out after each of these.
+BOOST_AUTO_TEST_CASE(answer_that_ends_with_its_connection_clears_its_parts)
+{
+    prompt_crash_of_part_6();
+    peers->clear();
+    submit(non_idempotent, 1,
+           {.streaming = true, .prompt = {{6, 300}, {7, 20}}});
+    begin_last_answer();
+    auto const last = backend->sent.back();
+    deliver(backend_end{.attempt = last.attempt, .by_close = true});
+    BOOST_TEST((backend->probed == std::vector{last.server}));
+    deliver(server_probed{.server = last.server, .reachable = true});
+    BOOST_TEST(received<gossip_part_answer>(*peers).size() == 1U);
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).empty());
+    // One connection is enough for all answers before it.
+    test_kernel.advance(3s);
+    BOOST_TEST(backend->probed.size() == 1U);
+}
+
+// Guards against sound parts that are blamed for a server which has ended as
+// planned.
+BOOST_AUTO_TEST_CASE(answer_that_ends_with_a_leaving_server_suspects_nothing)
+{
+    submit(non_idempotent, 1,
+           {.streaming = true, .prompt = {{6, 300}, {7, 20}}});
+    begin_last_answer();
+    auto const last = backend->sent.back();
+    deployment.servers.at(last.server).leaving = true;
+    publish_deployment();
+    deliver(backend_end{.attempt = last.attempt, .by_close = true});
+    BOOST_TEST(backend->probed.empty());
+    BOOST_TEST(received<gossip_prompt_crash>(*peers).empty());
+}
+
 // Guards against a crash that is discarded by a probe which reached the server
 // before it.
 BOOST_AUTO_TEST_CASE(probe_that_was_sent_before_a_crash_does_not_refute_it)
